--- /dev/null
+++ b/cartweir/__init__.py
@@ -0,0 +1,1 @@
+"""cartweir: an invocation router and release judge."""
--- /dev/null
+++ b/cartweir/drill/__init__.py
@@ -0,0 +1,1 @@
+"""The drill: one process that plays many instances on the line wire of the bench."""
