--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -143,7 +143,7 @@
         self.stage: Stage | None = None
         self.judge = Judge()
         self.exposures: dict[Operation | None, Exposure] = {}
-        self.bound_keys: set[str] = set()           # keys that the build on trial has answered
+        self.bound_keys: dict[str, int] = {}        # keys -> the newest build that has answered them
         self.held: deque[Invocation] = deque()
         self.open, self.limit, self.cut_at = 0, 0.0, 0
         self.recent: deque[int] = deque()           # when invocations were taken
@@ -220,8 +220,9 @@
         if how == SUCCEEDED:
             health.strikes = 0
             health.count(False)
-            if dispatch.invocation.key and self.cap_of(appliance) is not None:
-                self.bound_keys.add(dispatch.invocation.key)
+            key = dispatch.invocation.key
+            if key is not None and self.stage is not None and appliance.build >= self.stage.build:
+                self.bound_keys[key] = appliance.build
         elif how not in (CANCELLED, MOOT):
             health.count(True)
             silent = how in (UNCONNECTED, RESET) or (how == TIMEOUT and health.last_answer < dispatch.sent)
@@ -323,8 +324,7 @@
             return False
         cap = self.cap_of(appliance)
         if cap is None:
-            return not (self.known["one_way"] and inv.key in self.bound_keys and self.stage is not None
-                        and appliance.build < self.stage.build and self.stage.phase in (ON_TRIAL, RELEASED))
+            return not self.known["one_way"] or appliance.build >= self.bound_keys.get(inv.key, 0)
         if self.stage is None or self.stage.build < appliance.build or self.stage.number < self.known["guarded_stages"]:
             if self.known["guarded_stages"] and operation.effect != IDEMPOTENT:
                 return False
@@ -359,8 +359,8 @@
         self.stage = stage
         if old is None or stage.build != old.build:
             self.judge = Judge()
-            self.bound_keys.clear()
-        elif stage.phase not in (ON_TRIAL, RELEASED) and old.phase in (ON_TRIAL, RELEASED):
+            self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= stage.build}
+        if stage.phase not in (ON_TRIAL, RELEASED):
             self.bound_keys.clear()
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
             self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}, "
