Health: shut after repeated silence only; second copies scarce; late answers go through

A refused vote is no longer read as news of the stage. Kept: late answers go through, which spares client retries.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -118,7 +118,7 @@
         self.good = self.bad = 0.0          # recent outcomes, halved now and then
         self.shut_until = self.strikes = 0
         self.unanswered = 0                 # when the first dispatch since its last answer was sent; 0: none
-        self.last_answer = 0
+        self.silences = 0                   # ends without a word since its last answer
         self.sends: deque[int] = deque()    # while cold
         self.load, self.load_at = 0.0, 0
 
@@ -184,7 +184,7 @@
         for appliance in changed:
             if appliance.learned is None:
                 appliance.learned = Health()
-        self.limit = max(self.limit, 4.0 * len(self.fleet))
+        self.limit = max(self.limit, 2.0 * len(self.fleet))
         self.stir()
 
     # ---- news of little weight so far ----
@@ -212,10 +212,11 @@
         health.open -= 1
         self.open -= 1
         if how in (SUCCEEDED, ERROR, "full"):
-            health.unanswered, health.last_answer = 0, now
+            health.unanswered = health.silences = 0
+        elif how in (TIMEOUT, RESET, UNCONNECTED):
+            health.silences += 2 if how == UNCONNECTED else 1
         if outcome.load:
-            health.load = outcome.load.get("inflight", outcome.load.get("queue", 0.0))
-            health.load_at = now
+            health.load, health.load_at = outcome.load.get("inflight", 0.0), now
         operation = dispatch.invocation.operation
         if how == SUCCEEDED:
             health.strikes = 0
@@ -225,8 +226,8 @@
                 self.bound_keys[key] = appliance.build
         elif how not in (CANCELLED, MOOT):
             health.count(True)
-            silent = how in (UNCONNECTED, RESET) or (how == TIMEOUT and health.last_answer < dispatch.sent)
-            if appliance.state == READY and now >= health.shut_until and (silent or self.stands_out(appliance)):
+            if appliance.state == READY and now >= health.shut_until and (
+                    health.silences > 3 or self.stands_out(appliance)):
                 pause = health.shut(now)
                 self.host.log(f"shut {appliance.ident} for {pause // MS} ms: {how}, "
                               f"bad {health.bad:.0f} good {health.good:.0f}")
@@ -268,7 +269,7 @@
         now = self.host.now
         slow = outcome.how == TIMEOUT or outcome.took > 0.7 * operation.slo_time
         if slow and now - self.cut_at > 300 * MS:
-            self.limit, self.cut_at = max(self.limit * 0.85, 2.0 * len(self.fleet), 4.0), now
+            self.limit, self.cut_at = max(self.limit * 0.85, 0.5 * len(self.fleet), 4.0), now
         elif not slow and self.open >= 0.7 * self.limit:
             self.limit += 0.5
 
@@ -356,6 +357,11 @@
     # ---- votes -----------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
         old, now = self.stage, self.host.now
+        if stage.answer not in (None, "ok"):        # a refused vote brings no news, whatever its fields say
+            if self.vote_key and self.casts < 2 and stage.answer != "moot":
+                verdict, self.vote_key = self.vote_key[2], None
+                self.plan(verdict)
+            return
         self.stage = stage
         if old is None or stage.build != old.build:
             self.judge = Judge()
@@ -374,10 +380,6 @@
             self.votes = self.chance.random() < chance
             self.tend(stage)
             self.stir()
-        if stage.answer in ("full", "error", "timeout") and self.vote_key and self.casts < 2:
-            verdict = self.vote_key[2]
-            self.vote_key = None
-            self.plan(verdict)
 
     def tend(self, stage: Stage) -> None:
         """Looks again from time to time for as long as this word of the platform stands."""
@@ -471,11 +473,9 @@
                 yield self.give_up(inv, group)
                 return
             # 2. dispatch
-            patience = max(useful - host.now, MS)
-            if operation.effect == SIDE_EFFECTING:
-                patience = max(end - host.now, MS)
-            elif not known["may_duplicate"] and not inv.dispatches:
-                patience = max(patience * 6 // 10, MS)
+            patience = max(end - host.now, MS)
+            if operation.effect != SIDE_EFFECTING and not known["may_duplicate"] and not inv.dispatches:
+                patience = max((useful - host.now) * 6 // 10, MS)
             second_at = None
             if known["may_duplicate"] and operation.effect != SIDE_EFFECTING and self.calm():
                 second_at = host.now + (useful - host.now) // 2
@@ -488,8 +488,8 @@
                     keep = open_[0].appliance
                     if operation.effect == IDEMPOTENT or host.now < ran + operation.window - 50 * MS:
                         place = self.pick(inv, None if operation.effect == IDEMPOTENT else keep)
-                        if place is not None and place is not keep and self.may_retry(inv):
-                            outcome = yield self.send(inv, place, max(useful - host.now, MS), None)
+                        if place is not None and place is not keep and self.may_retry(inv, 4.0):
+                            outcome = yield self.send(inv, place, max(end - host.now, MS), None)
                             continue
                     second_at = end
                 outcome = yield Wait(end if inv.streaming or second_at is None or host.now >= second_at else second_at)
@@ -517,17 +517,18 @@
     def calm(self) -> bool:
         return not self.held and self.open < 0.8 * self.limit
 
-    def may_retry(self, inv: Invocation) -> bool:
+    def may_retry(self, inv: Invocation, price: float = 1.0) -> bool:
         """Guards against retry storms: further dispatches are a small part of the invocations taken."""
-        if len(inv.dispatches) >= self.known["dispatch_limit"] or self.spare_retries < 1:
+        if len(inv.dispatches) >= self.known["dispatch_limit"] or self.spare_retries < price:
             return False
-        self.spare_retries -= 1
+        self.spare_retries -= price
         return True
 
     def send(self, inv: Invocation, place: Appliance, patience: int, until: int | None) -> Dispatch:
         """Books a dispatch that the gate has let through."""
         now, health = self.host.now, place.learned
         health.open += 1
+        health.load += 1
         self.open += 1
         health.unanswered = health.unanswered or now
         if self.warmth(place) < 1.0:
