Judge: one stream per operation and one for reported answers; prior width 0.2, blocks of 8

Errors count from an appliance's first outcome, slowness after the skip. Trial gets a place in each pair.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -21,10 +21,11 @@
                         Terminate, Throttle, Wait)
 
 MS, S = 1_000, 1_000_000
-ALPHA, PRIOR_WIDTH = 0.05, 0.05             # the paper's level and the width of its Normal prior
-TRIAL_BLOCK, EARLIER_BLOCK = 20, 5          # outcomes that close a block
-SKIP = 5 * S                                # outcomes of a trial appliance younger than this are no evidence
-ON_AFTER, VOTE_SPREAD = 3 * S, 2 * S        # 'on' is due so long after the newest start; votes are spread over
+ALPHA, PRIOR_WIDTH = 0.05, 0.2              # the paper's level and the width of its Normal prior
+TRIAL_BLOCK, EARLIER_BLOCK = 8, 5           # outcomes that close a block
+FLAG_BLOCK = 40                             # the same where only reported wrong answers count: they are rare
+SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
+ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
@@ -33,7 +34,8 @@
 class Judge:
     """The paper's mixture likelihood ratio on our own blocks, with Normal densities (see docs/design.md)."""
 
-    def __init__(self) -> None:
+    def __init__(self, block: int = TRIAL_BLOCK) -> None:
+        self.block = block
         self.precision = self.weighted = 0.0                # A and S of the design page
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
         self.blocks = 0
@@ -41,10 +43,11 @@
     def add(self, trial: bool, failures: float, count: int = 1) -> None:
         self.counts[trial] += count
         self.failures[trial] += failures
-        if self.counts[True] < TRIAL_BLOCK or self.counts[False] < EARLIER_BLOCK:
+        if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
             return
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
-        spread = sum(max(p * (1 - p) / n, 1 / (4 * n)) for p, n in zip(shares, self.counts))
+        floored = [(p * n + 0.5) / (n + 1) for p, n in zip(shares, self.counts)]
+        spread = sum(p * (1 - p) / n for p, n in zip(floored, self.counts))
         self.precision += 1 / spread
         self.weighted += (shares[True] - shares[False]) / spread
         self.counts, self.failures = [0, 0], [0.0, 0.0]
@@ -141,7 +144,7 @@
         self.host, self.known, self.chance = host, known, chance
         self.fleet: list[Appliance] = []            # ready ones
         self.stage: Stage | None = None
-        self.judge = Judge()
+        self.judges: dict[Any, Judge] = {}          # by operation, and one for reported answers
         self.exposures: dict[Operation | None, Exposure] = {}
         self.bound_keys: dict[str, int] = {}        # keys -> the newest build that has answered them
         self.held: deque[Invocation] = deque()
@@ -190,8 +193,9 @@
     # ---- news of little weight so far ----
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
-        if self.stage and self.stage.phase in (ON_TRIAL, RELEASED) and tally.count:
-            self.judge.add(tally.build >= self.stage.build, tally.failures, tally.count)
+        if self.judging() and tally.count:
+            self.judge(tally.operation).add(tally.build >= self.stage.build, tally.failures, tally.count)
+            self.review()
 
     def on_probed(self, appliance: Appliance, how: str, took: int, load: Mapping[str, float]) -> None:
         pass
@@ -201,8 +205,24 @@
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         """A client found an answer wrong: it turns from a success into a failure, as do those not reported."""
-        if self.stage and self.stage.phase in (ON_TRIAL, RELEASED) and self.known["flag_share"] > 0:
-            self.judge.add(appliance.build == self.stage.build, 1 / self.known["flag_share"], 0)
+        if self.judging() and self.known["flag_share"] > 0:
+            self.judge(None).add(appliance.build == self.stage.build, 1 / self.known["flag_share"], 0)
+            self.review()
+
+    def judging(self) -> bool:
+        return self.stage is not None and self.stage.phase in (ON_TRIAL, RELEASED)
+
+    def judge(self, stream: Operation | None) -> Judge:
+        """Compared within one operation, so that a change of mix moves nothing; None: reported wrong answers."""
+        if stream not in self.judges:
+            self.judges[stream] = Judge(TRIAL_BLOCK if stream else FLAG_BLOCK)
+        return self.judges[stream]
+
+    def log_ratio(self) -> float:
+        return max((judge.log_ratio() for judge in self.judges.values()), default=0.0)
+
+    def evidence(self) -> str:
+        return f"ln L {self.log_ratio():.2f} after {sum(j.blocks for j in self.judges.values())} blocks"
 
     # ---- health of the fleet: every outcome passes here first ----
     def observe(self, outcome: Outcome) -> None:
@@ -246,22 +266,21 @@
     def weigh(self, dispatch: Dispatch, outcome: Outcome, operation: Operation, health: Health) -> None:
         """What the judge gets to see of an outcome."""
         stage, appliance, how = self.stage, dispatch.appliance, outcome.how
-        if stage is None or stage.phase not in (ON_TRIAL, RELEASED) or how in (CANCELLED, *NEVER_RAN):
-            if how == SUCCEEDED:
-                operation.learned.add(outcome.took)
-            return
-        trial = appliance.build == stage.build
-        if self.host.now - appliance.started < SKIP and (trial or appliance.started):
-            return
-        if trial and not any(a.build < stage.build for a in self.fleet):
-            return
-        usual = operation.learned.quantile(0.95)
-        failed = how != SUCCEEDED or (usual is not None and outcome.took > usual)
+        trial = self.judging() and appliance.build == stage.build
+        usual = operation.learned.quantile(0.9)
         if not trial and how == SUCCEEDED:
             operation.learned.add(outcome.took)
-        before = self.judge.blocks
-        self.judge.add(trial, failed)
-        if self.judge.blocks != before:
+        if not self.judging() or how in (CANCELLED, *NEVER_RAN) or not any(a.build < stage.build for a in self.fleet):
+            return
+        failed = how in (ERROR, RESET)
+        if not appliance.started or self.host.now - appliance.started >= SKIP:
+            failed = failed or how == TIMEOUT or (usual is not None and outcome.took > usual)
+        elif how == TIMEOUT:
+            return                          # a cold one is slow whatever its build
+        self.judge(operation).add(trial, failed)
+        if how == SUCCEEDED and self.known["flag_share"] > 0:
+            self.judge(None).add(trial, 0)
+        if self.log_ratio() > log(1 / ALPHA):
             self.review()
 
     def adapt(self, operation: Operation, outcome: Outcome) -> None:
@@ -350,7 +369,14 @@
             earlier = [a for a in fits if self.cap_of(a) is None]
             fits = earlier or fits
             fits = [a for a in fits if id(a) not in tried] or fits
-        if len(fits) > 2:
+        trial = [a for a in fits if self.cap_of(a) is not None]
+        earlier = [a for a in fits if self.cap_of(a) is None]
+        if trial and earlier:
+            if self.vote_key and self.vote_key[2] == BACK:      # judged bad: no more than must go there
+                fits = earlier
+            else:                                               # as much as the cap and its load allow
+                fits = [self.chance.choice(trial), self.chance.choice(earlier)]
+        elif len(fits) > 2:
             fits = self.chance.sample(fits, 2)
         return min(fits, key=self.busy) if fits else None
 
@@ -364,13 +390,13 @@
             return
         self.stage = stage
         if old is None or stage.build != old.build:
-            self.judge = Judge()
+            self.judges = {}
             self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= stage.build}
         if stage.phase not in (ON_TRIAL, RELEASED):
             self.bound_keys.clear()
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
             self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}, "
-                          f"ln L {self.judge.log_ratio():.2f} after {self.judge.blocks} blocks")
+                          f"{self.evidence()}")
             self.vote_key, self.casts, self.holding = None, 0, 0
             self.stage_since = now - stage.age
             agents = max(1, self.known["agents"])
@@ -389,7 +415,7 @@
             self.host.at(self.host.now + 250 * MS, lambda: self.tend(stage))
 
     def review(self) -> None:
-        stage, now, ratio = self.stage, self.host.now, self.judge.log_ratio()
+        stage, now, ratio = self.stage, self.host.now, self.log_ratio()
         if stage.phase not in (ON_TRIAL, RELEASED) or not self.votes:
             return
         if ratio > log(1 / ALPHA):
@@ -416,13 +442,12 @@
             return
         self.casts = self.casts + 1 if self.casts and verdict == ON else 1
         self.vote_key = key
-        self.host.at(self.host.now + self.chance.randrange(VOTE_SPREAD), lambda: self.cast(key))
+        self.host.at(self.host.now + VOTE_SPREAD // 2 + self.chance.randrange(VOTE_SPREAD), lambda: self.cast(key))
 
     def cast(self, key: tuple) -> None:
         if key != self.vote_key or key[:2] != (self.stage.build, self.stage.number):
             return
-        self.host.log(f"vote {key[2]} build {key[0]} stage {key[1]}: ln L {self.judge.log_ratio():.2f} "
-                      f"after {self.judge.blocks} blocks")
+        self.host.log(f"vote {key[2]} build {key[0]} stage {key[1]}: {self.evidence()}")
         self.host.vote(*key)
         self.host.at(self.host.now + self.known["vote_life"], lambda: self.lapse(key))
 
