--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -26,6 +26,7 @@
 FLAG_BLOCK = 40                             # the same where only reported wrong answers count: they are rare
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
+SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
@@ -154,11 +155,11 @@
         self.asked_at, self.subscribed = host.now, False
         self.mode = "calm"
         self.vote_key: tuple | None = None          # what the standing or planned vote says
-        self.casts = 0
+        self.casts = self.ticks = 0
         self.stage_since = self.hold_since = host.now
         self.holding = 0
-        for operation in known["operations"]:
-            operation.learned = Times()
+        self.untold = [0, 0, 0, 0]                  # answers and reports of earlier builds and of the trial
+        self.times: dict[tuple[Operation, str], Times] = {}     # machines of one kind compare with their like
         if known["must_ask"]:
             host.subscribe()
             host.at(host.now + self.ask_again(), self.keep_asking)
@@ -201,12 +202,30 @@
         pass
 
     def on_message(self, sender: int, body: bytes) -> None:
-        pass
+        """Counts of reported answers from another agent: they are too rare for one agent's blocks."""
+        fields = body.decode("ascii", "replace").split()
+        if len(fields) == 5 and all(f.isdigit() for f in fields) and self.judging():
+            build, *figures = map(int, fields)
+            if build == self.stage.build:
+                for trial in (False, True):
+                    self.judge(None).add(trial, figures[2 + trial] / self.known["flag_share"], figures[trial])
+                self.review()
+
+    def tell(self) -> None:
+        """Where messages are allowed: own counts since the last time, for the others' blocks."""
+        if self.known["may_message"] and any(self.untold):
+            self.host.message(None, " ".join(map(str, [self.stage.build, *self.untold])).encode())
+        self.untold = [0, 0, 0, 0]
+
+    def flagged(self, trial: bool, flags: int, count: int) -> None:
+        self.untold[trial] += count
+        self.untold[2 + trial] += flags
+        self.judge(None).add(trial, flags / self.known["flag_share"], count)
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         """A client found an answer wrong: it turns from a success into a failure, as do those not reported."""
         if self.judging() and self.known["flag_share"] > 0:
-            self.judge(None).add(appliance.build == self.stage.build, 1 / self.known["flag_share"], 0)
+            self.flagged(appliance.build == self.stage.build, 1, 0)
             self.review()
 
     def judging(self) -> bool:
@@ -267,19 +286,20 @@
         """What the judge gets to see of an outcome."""
         stage, appliance, how = self.stage, dispatch.appliance, outcome.how
         trial = self.judging() and appliance.build == stage.build
-        usual = operation.learned.quantile(0.9)
+        times = self.times.setdefault((operation, appliance.kind), Times())
+        usual = times.quantile(0.9)
         if not trial and how == SUCCEEDED:
-            operation.learned.add(outcome.took)
+            times.add(outcome.took)
         if not self.judging() or how in (CANCELLED, *NEVER_RAN) or not any(a.build < stage.build for a in self.fleet):
             return
         failed = how in (ERROR, RESET)
         if not appliance.started or self.host.now - appliance.started >= SKIP:
-            failed = failed or how == TIMEOUT or (usual is not None and outcome.took > usual)
+            failed = failed or how == TIMEOUT or (usual is not None and outcome.took > SLOW_BY * usual)
         elif how == TIMEOUT:
             return                          # a cold one is slow whatever its build
         self.judge(operation).add(trial, failed)
         if how == SUCCEEDED and self.known["flag_share"] > 0:
-            self.judge(None).add(trial, 0)
+            self.flagged(trial, 0, 1)
         if self.log_ratio() > log(1 / ALPHA):
             self.review()
 
@@ -290,7 +310,7 @@
         if slow and now - self.cut_at > 300 * MS:
             self.limit, self.cut_at = max(self.limit * 0.85, 0.5 * len(self.fleet), 4.0), now
         elif not slow and self.open >= 0.7 * self.limit:
-            self.limit += 0.5
+            self.limit += 2 / self.limit
 
     # ---- pick: which appliance -----------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
@@ -374,11 +394,15 @@
         if trial and earlier:
             if self.vote_key and self.vote_key[2] == BACK:      # judged bad: no more than must go there
                 fits = earlier
-            else:                                               # as much as the cap and its load allow
-                fits = [self.chance.choice(trial), self.chance.choice(earlier)]
-        elif len(fits) > 2:
-            fits = self.chance.sample(fits, 2)
-        return min(fits, key=self.busy) if fits else None
+            else:       # as much as the cap allows, so that it is judged at its full load before it is released
+                best = self.less_busy(trial)
+                places = [a for a in self.fleet if self.known["in_place"] or a.build < best.build]
+                usual = self.open / sum(a.weight for a in places)
+                fits = [best] if best.learned.open < usual * best.weight * self.warmth(best) + 0.5 else earlier
+        return self.less_busy(fits) if fits else None
+
+    def less_busy(self, fits: list[Appliance]) -> Appliance:
+        return min(self.chance.sample(fits, 2) if len(fits) > 2 else fits, key=self.busy)
 
     # ---- votes -----------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
@@ -412,6 +436,9 @@
         now = self.stage
         if (now.build, now.number, now.phase) == (stage.build, stage.number, stage.phase):
             self.review()
+            self.ticks += 1
+            if self.ticks % 4 == 0:
+                self.tell()
             self.host.at(self.host.now + 250 * MS, lambda: self.tend(stage))
 
     def review(self) -> None:
