After a release blocks close against the last earlier side; the told cap holds on the way back

Cause: a released bad build could not be judged, as no earlier machine is left; and on the way back no place was left until earlier machines had started. Guards: outcomes of a machine that stands out from its build's others are no evidence. Harm: a change of the world right after a release may be read as the build's.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -40,12 +40,17 @@
         self.precision = self.weighted = 0.0                # A and S of the design page
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
         self.blocks = 0
+        self.kept = (0, 0.0)                                # the earlier side of the last closed block
 
-    def add(self, trial: bool, failures: float, count: int = 1) -> None:
+    def add(self, trial: bool, failures: float, count: int = 1, alone: bool = False) -> None:
+        """alone: the build is released and the earlier machines are gone, so the last earlier side stands in."""
         self.counts[trial] += count
         self.failures[trial] += failures
+        if alone and self.counts[False] < EARLIER_BLOCK:
+            self.counts[False], self.failures[False] = self.kept
         if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
             return
+        self.kept = self.counts[False], self.failures[False]
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
         floored = [(p * n + 0.5) / (n + 1) for p, n in zip(shares, self.counts)]
         spread = sum(p * (1 - p) / n for p, n in zip(floored, self.counts))
@@ -208,7 +213,8 @@
             build, *figures = map(int, fields)
             if build == self.stage.build:
                 for trial in (False, True):
-                    self.judge(None).add(trial, figures[2 + trial] / self.known["flag_share"], figures[trial])
+                    flags = figures[2 + trial] / self.known["flag_share"]
+                    self.judge(None).add(trial, flags, figures[trial], self.alone())
                 self.review()
 
     def tell(self) -> None:
@@ -220,7 +226,7 @@
     def flagged(self, trial: bool, flags: int, count: int) -> None:
         self.untold[trial] += count
         self.untold[2 + trial] += flags
-        self.judge(None).add(trial, flags / self.known["flag_share"], count)
+        self.judge(None).add(trial, flags / self.known["flag_share"], count, self.alone())
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         """A client found an answer wrong: it turns from a success into a failure, as do those not reported."""
@@ -228,6 +234,9 @@
             self.flagged(appliance.build == self.stage.build, 1, 0)
             self.review()
 
+    def alone(self) -> bool:
+        return not any(a.build < self.stage.build for a in self.fleet) if self.stage else True
+
     def judging(self) -> bool:
         return self.stage is not None and self.stage.phase in (ON_TRIAL, RELEASED)
 
@@ -290,14 +299,17 @@
         usual = times.quantile(0.9)
         if not trial and how == SUCCEEDED:
             times.add(outcome.took)
-        if not self.judging() or how in (CANCELLED, *NEVER_RAN) or not any(a.build < stage.build for a in self.fleet):
+        alone = self.alone()
+        if not self.judging() or how in (CANCELLED, *NEVER_RAN) or (alone and self.stage.phase != RELEASED):
             return
         failed = how in (ERROR, RESET)
-        if not appliance.started or self.host.now - appliance.started >= SKIP:
+        if failed and self.stands_out(appliance):
+            return                          # guards against a failing machine being taken for a failing build
+        if not alone and (not appliance.started or self.host.now - appliance.started >= SKIP):
             failed = failed or how == TIMEOUT or (usual is not None and outcome.took > SLOW_BY * usual)
         elif how == TIMEOUT:
-            return                          # a cold one is slow whatever its build
-        self.judge(operation).add(trial, failed)
+            return                          # a cold one is slow whatever its build; so is all after a jump of load
+        self.judge(operation).add(trial, failed, 1, alone)
         if how == SUCCEEDED and self.known["flag_share"] > 0:
             self.flagged(trial, 0, 1)
         if self.log_ratio() > log(1 / ALPHA):
@@ -322,7 +334,7 @@
             return self.known["caps"][0] if self.known["caps"] else 0.0
         if appliance.build < stage.build or stage.phase == RELEASED:
             return None
-        return stage.cap if stage.phase == ON_TRIAL else 0.0
+        return stage.cap        # on the way back it falls to 0 only when earlier machines are there
 
     def exposure(self, operation: Operation) -> Exposure:
         key = operation if self.known["per_operation"] else None
@@ -392,7 +404,7 @@
         trial = [a for a in fits if self.cap_of(a) is not None]
         earlier = [a for a in fits if self.cap_of(a) is None]
         if trial and earlier:
-            if self.vote_key and self.vote_key[2] == BACK:      # judged bad: no more than must go there
+            if self.stage.phase != ON_TRIAL or (self.vote_key and self.vote_key[2] == BACK):    # no more than must
                 fits = earlier
             else:       # as much as the cap allows, so that it is judged at its full load before it is released
                 best = self.less_busy(trial)
