--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -21,11 +21,14 @@
                         Terminate, Throttle, Wait)
 
 MS, S = 1_000, 1_000_000
-ALPHA, PRIOR_WIDTH = 0.05, 0.2              # the paper's level and the width of its Normal prior
-TRIAL_BLOCK, EARLIER_BLOCK = 8, 5           # outcomes that close a block
-FLAG_BLOCK = 40                             # the same where only reported wrong answers count: they are rare
+ALPHA = 0.05                                # the paper's level
+EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs, and for each stream
+SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the width of the Normal prior: small blocks
+FLAGS, RARE = (40, 0.2), (60, 0.05)         # look for much at once, large ones for little
+FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
+APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
@@ -35,17 +38,20 @@
 class Judge:
     """The paper's mixture likelihood ratio on our own blocks, with Normal densities (see docs/design.md)."""
 
-    def __init__(self, block: int = TRIAL_BLOCK) -> None:
-        self.block = block
+    def __init__(self, block: int, width: float) -> None:
+        self.block, self.width = block, width
         self.precision = self.weighted = 0.0                # A and S of the design page
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
         self.blocks = 0
+        self.seen, self.failed = [0, 0], [0.0, 0.0]         # in all, for the log
         self.kept = (0, 0.0)                                # the earlier side of the last closed block
 
     def add(self, trial: bool, failures: float, count: int = 1, alone: bool = False) -> None:
         """alone: the build is released and the earlier machines are gone, so the last earlier side stands in."""
         self.counts[trial] += count
         self.failures[trial] += failures
+        self.seen[trial] += count
+        self.failed[trial] += failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
         if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
@@ -54,8 +60,9 @@
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
         floored = [(p * n + 0.5) / (n + 1) for p, n in zip(shares, self.counts)]
         spread = sum(p * (1 - p) / n for p, n in zip(floored, self.counts))
-        self.precision += 1 / spread
-        self.weighted += (shares[True] - shares[False]) / spread
+        # blocks fade: guards against a build that turns bad late, or only once it bears the full load
+        self.precision = self.precision * FADE + 1 / spread
+        self.weighted = self.weighted * FADE + (shares[True] - shares[False]) / spread
         self.counts, self.failures = [0, 0], [0.0, 0.0]
         self.blocks += 1
 
@@ -63,8 +70,8 @@
         """ln L; 0 while the new build looks no worse."""
         if self.weighted <= 0:
             return 0.0
-        grown = 1 + PRIOR_WIDTH ** 2 * self.precision
-        return PRIOR_WIDTH ** 2 * self.weighted ** 2 / (2 * grown) - log(grown) / 2
+        grown = 1 + self.width ** 2 * self.precision
+        return self.width ** 2 * self.weighted ** 2 / (2 * grown) - log(grown) / 2
 
 
 class Times:
@@ -127,6 +134,7 @@
         self.good = self.bad = 0.0          # recent outcomes, halved now and then
         self.shut_until = self.strikes = 0
         self.unanswered = 0                 # when the first dispatch since its last answer was sent; 0: none
+        self.sampled = 0                    # when its slowness was last sampled
         self.silences = 0                   # ends without a word since its last answer
         self.sends: deque[int] = deque()    # while cold
         self.load, self.load_at = 0.0, 0
@@ -200,7 +208,7 @@
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
         if self.judging() and tally.count:
-            self.judge(tally.operation).add(tally.build >= self.stage.build, tally.failures, tally.count)
+            self.judge(tally.operation, SLOW).add(tally.build >= self.stage.build, tally.failures, tally.count)
             self.review()
 
     def on_probed(self, appliance: Appliance, how: str, took: int, load: Mapping[str, float]) -> None:
@@ -214,7 +222,7 @@
             if build == self.stage.build:
                 for trial in (False, True):
                     flags = figures[2 + trial] / self.known["flag_share"]
-                    self.judge(None).add(trial, flags, figures[trial], self.alone())
+                    self.judge(None, FLAGS).add(trial, flags, figures[trial], self.alone())
                 self.review()
 
     def tell(self) -> None:
@@ -226,7 +234,7 @@
     def flagged(self, trial: bool, flags: int, count: int) -> None:
         self.untold[trial] += count
         self.untold[2 + trial] += flags
-        self.judge(None).add(trial, flags / self.known["flag_share"], count, self.alone())
+        self.judge(None, FLAGS).add(trial, flags / self.known["flag_share"], count, self.alone())
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         """A client found an answer wrong: it turns from a success into a failure, as do those not reported."""
@@ -240,17 +248,18 @@
     def judging(self) -> bool:
         return self.stage is not None and self.stage.phase in (ON_TRIAL, RELEASED)
 
-    def judge(self, stream: Operation | None) -> Judge:
-        """Compared within one operation, so that a change of mix moves nothing; None: reported wrong answers."""
-        if stream not in self.judges:
-            self.judges[stream] = Judge(TRIAL_BLOCK if stream else FLAG_BLOCK)
-        return self.judges[stream]
+    def judge(self, operation: Operation | None, stream: tuple[int, float]) -> Judge:
+        """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
+        return self.judges.setdefault((operation, stream), Judge(*stream))
 
     def log_ratio(self) -> float:
         return max((judge.log_ratio() for judge in self.judges.values()), default=0.0)
 
     def evidence(self) -> str:
-        return f"ln L {self.log_ratio():.2f} after {sum(j.blocks for j in self.judges.values())} blocks"
+        worst = max(self.judges.values(), key=Judge.log_ratio, default=Judge(*SLOW))
+        (n_old, n_new), (bad_old, bad_new) = worst.seen, worst.failed
+        return (f"ln L {worst.log_ratio():.2f} after {worst.blocks} blocks of {worst.block}, "
+                f"failed {bad_new:.0f}/{n_new} against {bad_old:.0f}/{n_old}")
 
     # ---- health of the fleet: every outcome passes here first ----
     def observe(self, outcome: Outcome) -> None:
@@ -305,11 +314,15 @@
         failed = how in (ERROR, RESET)
         if failed and self.stands_out(appliance):
             return                          # guards against a failing machine being taken for a failing build
-        if not alone and (not appliance.started or self.host.now - appliance.started >= SKIP):
-            failed = failed or how == TIMEOUT or (usual is not None and outcome.took > SLOW_BY * usual)
-        elif how == TIMEOUT:
-            return                          # a cold one is slow whatever its build; so is all after a jump of load
-        self.judge(operation).add(trial, failed, 1, alone)
+        if how != TIMEOUT:
+            self.judge(operation, ERRORS).add(trial, failed, 1, alone)
+            self.judge(None, RARE).add(trial, failed, 1, alone)
+        young = appliance.started and self.host.now - appliance.started < SKIP
+        if not (alone or young or dispatch.learned) and self.host.now - health.sampled > APART:
+            # a cold or crowded one is slow whatever its build; so is all after a jump of load with none to compare
+            slow = how == TIMEOUT or (usual is not None and outcome.took > SLOW_BY * usual)
+            self.judge(operation, SLOW).add(trial, failed or slow)
+            health.sampled = self.host.now
         if how == SUCCEEDED and self.known["flag_share"] > 0:
             self.flagged(trial, 0, 1)
         if self.log_ratio() > log(1 / ALPHA):
@@ -599,7 +612,9 @@
             health.sends.append(now)
         if self.cap_of(place) is not None:
             self.exposure(inv.operation).sent(now)
-        return Dispatch(place, patience, until)
+        usual = self.open / sum(a.weight for a in self.fleet)
+        crowded = health.open > 1 + 1.5 * usual * place.weight
+        return Dispatch(place, patience, until, learned=crowded)
 
     def give_up(self, inv: Invocation, group: Appliance | None) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
