--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -68,7 +68,7 @@
 
     def log_ratio(self) -> float:
         """ln L; 0 while the new build looks no worse."""
-        if self.weighted <= 0:
+        if self.weighted <= 0 or (self.blocks < 2 and self.block == SLOW[0]):   # one jam fills one block
             return 0.0
         grown = 1 + self.width ** 2 * self.precision
         return self.width ** 2 * self.weighted ** 2 / (2 * grown) - log(grown) / 2
@@ -423,7 +423,8 @@
                 best = self.less_busy(trial)
                 places = [a for a in self.fleet if self.known["in_place"] or a.build < best.build]
                 usual = self.open / sum(a.weight for a in places)
-                fits = [best] if best.learned.open < usual * best.weight * self.warmth(best) + 0.5 else earlier
+                room = 0.5 if self.known["in_place"] else 1.5      # beside: the fleet has grown, its load fallen
+                fits = [best] if best.learned.open < usual * best.weight * self.warmth(best) + room else earlier
         return self.less_busy(fits) if fits else None
 
     def less_busy(self, fits: list[Appliance]) -> Appliance:
