Module rewritten in sections, one gate for repeats

Cause: a held fingerprinted invocation could have been sent past its window; two paths checked repeats.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -12,13 +12,12 @@
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Mapping
-from math import exp, log, sqrt
+from math import log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, GOING_BACK, IDEMPOTENT, HOLD, MOOT, NEVER_RAN, ON,
-                        ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
-                        Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps, Tally,
-                        Terminate, Throttle, Wait)
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON, ON_TRIAL,
+                        READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Cancel,
+                        Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps, Tally, Terminate, Throttle, Wait)
 
 MS, S = 1_000, 1_000_000
 ALPHA = 0.05                                # the paper's level
@@ -27,26 +26,26 @@
 FLAGS, RARE = (40, 0.2), (60, 0.05)         # look for much at once, large ones for little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
-ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
+ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
 
-# ---- judge: is the build on trial worse than the earlier one? -------------------------------------
+# ---- judge: is the build on trial worse than the earlier one? ---------------------------------------
 class Judge:
-    """The paper's mixture likelihood ratio on our own blocks, with Normal densities (see docs/design.md)."""
+    """One stream: the paper's mixture likelihood ratio on our own blocks, with Normal densities."""
 
     def __init__(self, block: int, width: float) -> None:
         self.block, self.width = block, width
         self.precision = self.weighted = 0.0                # A and S of the design page
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
+        self.kept = (0, 0.0)                                # the earlier side of the last closed block
         self.blocks = 0
         self.seen, self.failed = [0, 0], [0.0, 0.0]         # in all, for the log
-        self.kept = (0, 0.0)                                # the earlier side of the last closed block
 
-    def add(self, trial: bool, failures: float, count: int = 1, alone: bool = False) -> None:
+    def add(self, trial: bool, failures: float, count: int, alone: bool) -> None:
         """alone: the build is released and the earlier machines are gone, so the last earlier side stands in."""
         self.counts[trial] += count
         self.failures[trial] += failures
@@ -84,22 +83,81 @@
         self.bins[bisect_left(EDGES, took)] += 1
         self.total += 1
         if self.total >= 400:
-            self.bins = [n / 2 for n in self.bins]
-            self.total /= 2
+            self.bins, self.total = [n / 2 for n in self.bins], self.total / 2
 
-    def quantile(self, share: float) -> int | None:
-        """The upper edge of the bin that holds this share; None on too few answers."""
-        if self.total < 40:
-            return None
+    def too_long(self) -> float:
+        """Well beyond the bin that holds nine tenths; without end on too few answers."""
         below = 0.0
         for edge, n in zip(EDGES, self.bins):
             below += n
-            if below >= share * self.total:
-                return edge
-        return EDGES[-1]
+            if self.total >= 40 and below >= 0.9 * self.total:
+                return SLOW_BY * edge
+        return float("inf")
+
+
+class Jury:
+    """All streams on the newest build; the one with the most to say decides."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent, self.known = agent, agent.known
+        self.judges: dict[tuple, Judge] = {}
+        self.times: dict[tuple, Times] = {}     # machines of one kind compare with their like
+        self.untold = [0, 0, 0, 0]              # answers and reports, of earlier builds and of the trial
+
+    def reset(self) -> None:
+        self.judges, self.untold = {}, [0, 0, 0, 0]
+
+    def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1) -> None:
+        """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
+        judge = self.judges.setdefault((operation, stream), Judge(*stream))
+        judge.add(trial, failures, count, self.agent.alone())
+
+    def worst(self) -> Judge:
+        return max(self.judges.values(), key=Judge.log_ratio, default=Judge(*SLOW))
+
+    def evidence(self) -> str:
+        worst = self.worst()
+        (old, new), (bad_old, bad_new) = worst.seen, worst.failed
+        return (f"ln L {worst.log_ratio():.2f} after {worst.blocks} blocks of {worst.block}, "
+                f"failed {bad_new:.0f}/{new} against {bad_old:.0f}/{old}")
 
+    def flags(self, trial: bool, flags: int, count: int) -> None:
+        """Reported answers stand for those not reported too."""
+        self.add(None, FLAGS, trial, flags / self.known["flag_share"], count)
 
-# ---- exposure: dispatches at builds on trial -------------------------------------------------------
+    def flagged(self, trial: bool, flags: int, count: int) -> None:
+        self.untold[trial] += count
+        self.untold[2 + trial] += flags
+        self.flags(trial, flags, count)
+
+    def weigh(self, outcome: Outcome) -> None:
+        """What is evidence in an outcome."""
+        dispatch, how, now = outcome.dispatch, outcome.how, self.agent.host.now
+        operation, appliance, health = dispatch.invocation.operation, dispatch.appliance, dispatch.appliance.learned
+        trial, alone = self.agent.on_newest(appliance), self.agent.alone()
+        times = self.times.setdefault((operation, appliance.kind), Times())
+        too_long = times.too_long()
+        if not trial and how == SUCCEEDED:
+            times.add(outcome.took)
+        if not self.agent.judging() or how == CANCELLED or how in NEVER_RAN:
+            return
+        failed = how in (ERROR, RESET)
+        if failed and self.agent.stands_out(appliance):
+            return                          # guards against a failing machine being taken for a failing build
+        if how != TIMEOUT:
+            self.add(operation, ERRORS, trial, failed)
+            self.add(None, RARE, trial, failed)
+        young = appliance.started and now - appliance.started < SKIP
+        crowded = dispatch.learned
+        if not (alone or young or crowded) and now - health.sampled > APART:
+            # a cold or crowded one is slow whatever its build; so is all after a jump of load with none to compare
+            self.add(operation, SLOW, trial, failed or how == TIMEOUT or outcome.took > too_long)
+            health.sampled = now
+        if how == SUCCEEDED and self.known["flag_share"] > 0:
+            self.flagged(trial, 0, 1)
+
+
+# ---- exposure: dispatches at builds on trial ----------------------------------------------------------
 class Exposure:
     """Keeps every span of the window within free + cap x taken, also one that ends between events."""
 
@@ -120,27 +178,34 @@
         while self.sends and self.sends[0][0] < now - self.window:
             self.sends.popleft()
         count = len(self.sends) + 1
-        return cap > 0 and count >= 1 and self.free >= 1 and all(
+        return cap > 0 and self.free >= 1 and all(
             count - i <= self.free + cap * (self.taken - send[1]) - 1e-9 for i, send in enumerate(self.sends))
 
-    def sent(self, now: int) -> None:
-        self.sends.append([now, self.taken])
 
-
-# ---- health: what is known of one appliance --------------------------------------------------------
+# ---- health: what is known of one appliance ------------------------------------------------------------
 class Health:
     def __init__(self) -> None:
         self.open = 0                       # own dispatches out
         self.good = self.bad = 0.0          # recent outcomes, halved now and then
         self.shut_until = self.strikes = 0
+        self.silences = 0                   # ends without a word since its last answer
         self.unanswered = 0                 # when the first dispatch since its last answer was sent; 0: none
         self.sampled = 0                    # when its slowness was last sampled
-        self.silences = 0                   # ends without a word since its last answer
         self.sends: deque[int] = deque()    # while cold
-        self.load, self.load_at = 0.0, 0
+        self.load, self.load_at = 0.0, 0    # as reported, with own dispatches since
 
-    def count(self, failed: bool) -> None:
-        self.good, self.bad = self.good + (not failed), self.bad + failed
+    def note(self, outcome: Outcome, now: int) -> None:
+        self.open -= 1
+        if outcome.how in (SUCCEEDED, ERROR, FULL):
+            self.unanswered = self.silences = 0
+        elif outcome.how in (TIMEOUT, RESET, UNCONNECTED):
+            self.silences += 2 if outcome.how == UNCONNECTED else 1
+        if outcome.load:
+            self.load, self.load_at = outcome.load.get("inflight", 0.0), now
+        if outcome.how == SUCCEEDED:
+            self.good, self.strikes = self.good + 1, 0
+        elif outcome.how not in (CANCELLED, MOOT):
+            self.bad += 1
         if self.good + self.bad >= 16:
             self.good, self.bad = self.good / 2, self.bad / 2
 
@@ -154,190 +219,127 @@
 
 
 class Agent:
+    """One instance: the news, the pick, the votes and the invocations."""
+
     def __init__(self, host: Host, known: Mapping[str, Any], chance: random.Random) -> None:
         self.host, self.known, self.chance = host, known, chance
         self.fleet: list[Appliance] = []            # ready ones
         self.stage: Stage | None = None
-        self.judges: dict[Any, Judge] = {}          # by operation, and one for reported answers
+        self.jury = Jury(self)
         self.exposures: dict[Operation | None, Exposure] = {}
-        self.bound_keys: dict[str, int] = {}        # keys -> the newest build that has answered them
-        self.held: deque[Invocation] = deque()
+        self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
+        self.held: list[Invocation] = []
         self.open, self.limit, self.cut_at = 0, 0.0, 0
-        self.recent: deque[int] = deque()           # when invocations were taken
+        self.recent: deque[int] = deque(maxlen=4000)    # when invocations were taken
         self.spare_retries = 10.0
-        self.asked_at, self.subscribed = host.now, False
-        self.mode = "calm"
-        self.vote_key: tuple | None = None          # what the standing or planned vote says
-        self.casts = self.ticks = 0
-        self.stage_since = self.hold_since = host.now
-        self.holding = 0
-        self.untold = [0, 0, 0, 0]                  # answers and reports of earlier builds and of the trial
-        self.times: dict[tuple[Operation, str], Times] = {}     # machines of one kind compare with their like
+        self.subscribed = False
+        self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
+        self.votes = self.may_recast = False
+        self.stage_since = self.undecided_since = self.reviews = 0
         if known["must_ask"]:
             host.subscribe()
-            host.at(host.now + self.ask_again(), self.keep_asking)
+            host.at(host.now + self.some(S), self.keep_asking)
 
-    # ---- the list ----
-    def ask_again(self) -> int:
-        return self.chance.randrange(S // 2, S)
+    def some(self, time: int) -> int:
+        """Spreads agents out: from half the time to the whole of it."""
+        return self.chance.randrange(time // 2, time)
 
+    # ---- the list ----
     def keep_asking(self) -> None:
         """Until a subscription stands, ask again; well within the time after which not asking counts as told."""
         if not self.subscribed:
             self.host.subscribe()
-            self.host.at(self.host.now + 2 * self.ask_again(), self.keep_asking)
+            self.host.at(self.host.now + self.some(2 * S), self.keep_asking)
 
     def on_list(self, how: str, changed: list[Appliance]) -> None:
-        if how == "failed":
-            # guards against a subscription that broke unnoticed: the notice does not say whether it stands
+        if how == "failed":                 # the notice does not say whether an earlier subscription still stands
             if self.subscribed:
                 self.subscribed = False
-                self.host.at(self.host.now + self.ask_again(), self.keep_asking)
+                self.host.at(self.host.now + self.some(S), self.keep_asking)
             return
-        if how != "cached":
-            self.subscribed = True
-        gone = {id(appliance) for appliance in changed}
-        self.fleet = [a for a in self.fleet if id(a) not in gone] + [a for a in changed if a.state == READY]
+        self.subscribed = self.subscribed or how != "cached"
+        news = {id(appliance) for appliance in changed}
+        self.fleet = [a for a in self.fleet if id(a) not in news] + [a for a in changed if a.state == READY]
         for appliance in changed:
-            if appliance.learned is None:
-                appliance.learned = Health()
+            appliance.learned = appliance.learned or Health()
         self.limit = max(self.limit, 2.0 * len(self.fleet))
         self.stir()
 
-    # ---- news of little weight so far ----
+    # ---- other news, and how builds stand to each other ----
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
         if self.judging() and tally.count:
-            self.judge(tally.operation, SLOW).add(tally.build >= self.stage.build, tally.failures, tally.count)
+            self.jury.add(tally.operation, SLOW, tally.build >= self.stage.build, tally.failures, tally.count)
             self.review()
 
     def on_probed(self, appliance: Appliance, how: str, took: int, load: Mapping[str, float]) -> None:
-        pass
+        """No probes are sent so far."""
+
+    def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
+        if self.judging() and self.known["flag_share"] > 0:
+            self.jury.flagged(self.on_newest(appliance), 1, 0)
+            self.review()
 
     def on_message(self, sender: int, body: bytes) -> None:
         """Counts of reported answers from another agent: they are too rare for one agent's blocks."""
         fields = body.decode("ascii", "replace").split()
-        if len(fields) == 5 and all(f.isdigit() for f in fields) and self.judging():
+        if len(fields) == 5 and all(field.isdigit() for field in fields) and self.judging():
             build, *figures = map(int, fields)
             if build == self.stage.build:
                 for trial in (False, True):
-                    flags = figures[2 + trial] / self.known["flag_share"]
-                    self.judge(None, FLAGS).add(trial, flags, figures[trial], self.alone())
+                    self.jury.flags(trial, figures[2 + trial], figures[trial])
                 self.review()
 
     def tell(self) -> None:
-        """Where messages are allowed: own counts since the last time, for the others' blocks."""
-        if self.known["may_message"] and any(self.untold):
-            self.host.message(None, " ".join(map(str, [self.stage.build, *self.untold])).encode())
-        self.untold = [0, 0, 0, 0]
-
-    def flagged(self, trial: bool, flags: int, count: int) -> None:
-        self.untold[trial] += count
-        self.untold[2 + trial] += flags
-        self.judge(None, FLAGS).add(trial, flags / self.known["flag_share"], count, self.alone())
-
-    def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
-        """A client found an answer wrong: it turns from a success into a failure, as do those not reported."""
-        if self.judging() and self.known["flag_share"] > 0:
-            self.flagged(appliance.build == self.stage.build, 1, 0)
-            self.review()
+        untold, self.jury.untold = self.jury.untold, [0, 0, 0, 0]
+        if self.known["may_message"] and any(untold):
+            self.host.message(None, " ".join(map(str, [self.stage.build, *untold])).encode())
 
     def alone(self) -> bool:
-        return not any(a.build < self.stage.build for a in self.fleet) if self.stage else True
-
-    def judging(self) -> bool:
-        return self.stage is not None and self.stage.phase in (ON_TRIAL, RELEASED)
+        return self.stage is None or not any(a.build < self.stage.build for a in self.fleet)
 
-    def judge(self, operation: Operation | None, stream: tuple[int, float]) -> Judge:
-        """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
-        return self.judges.setdefault((operation, stream), Judge(*stream))
+    def on_newest(self, appliance: Appliance) -> bool:
+        return self.stage is not None and appliance.build == self.stage.build
 
-    def log_ratio(self) -> float:
-        return max((judge.log_ratio() for judge in self.judges.values()), default=0.0)
-
-    def evidence(self) -> str:
-        worst = max(self.judges.values(), key=Judge.log_ratio, default=Judge(*SLOW))
-        (n_old, n_new), (bad_old, bad_new) = worst.seen, worst.failed
-        return (f"ln L {worst.log_ratio():.2f} after {worst.blocks} blocks of {worst.block}, "
-                f"failed {bad_new:.0f}/{n_new} against {bad_old:.0f}/{n_old}")
+    def judging(self) -> bool:
+        return self.stage is not None and (self.stage.phase == RELEASED or (
+            self.stage.phase == ON_TRIAL and not self.alone()))
 
-    # ---- health of the fleet: every outcome passes here first ----
+    # ---- every outcome passes here first ----
     def observe(self, outcome: Outcome) -> None:
         dispatch, how, now = outcome.dispatch, outcome.how, self.host.now
-        appliance = dispatch.appliance
-        health: Health = appliance.learned
-        health.open -= 1
+        appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open -= 1
-        if how in (SUCCEEDED, ERROR, "full"):
-            health.unanswered = health.silences = 0
-        elif how in (TIMEOUT, RESET, UNCONNECTED):
-            health.silences += 2 if how == UNCONNECTED else 1
-        if outcome.load:
-            health.load, health.load_at = outcome.load.get("inflight", 0.0), now
-        operation = dispatch.invocation.operation
-        if how == SUCCEEDED:
-            health.strikes = 0
-            health.count(False)
-            key = dispatch.invocation.key
-            if key is not None and self.stage is not None and appliance.build >= self.stage.build:
+        health.note(outcome, now)
+        key = dispatch.invocation.key
+        if how == SUCCEEDED and key is not None and self.stage is not None and appliance.build >= self.stage.build:
+            if self.known["one_way"] and not self.alone():
                 self.bound_keys[key] = appliance.build
-        elif how not in (CANCELLED, MOOT):
-            health.count(True)
-            if appliance.state == READY and now >= health.shut_until and (
-                    health.silences > 3 or self.stands_out(appliance)):
-                pause = health.shut(now)
-                self.host.log(f"shut {appliance.ident} for {pause // MS} ms: {how}, "
-                              f"bad {health.bad:.0f} good {health.good:.0f}")
-        self.weigh(dispatch, outcome, operation, health)
-        self.adapt(operation, outcome)
+        if how not in (SUCCEEDED, CANCELLED, MOOT) and appliance.state == READY and now >= health.shut_until and (
+                health.silences > 3 or self.stands_out(appliance)):
+            self.host.log(f"shut {appliance.ident} for {health.shut(now) // MS} ms: {how}, silences "
+                          f"{health.silences}, bad {health.bad:.0f} good {health.good:.0f}")
+        self.jury.weigh(outcome)
+        if self.jury.worst().log_ratio() > log(1 / ALPHA):
+            self.review()
+        # the bound on own open dispatches follows how quickly answers come, as overload shows there first
+        slow = how == TIMEOUT or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
+        if slow and now - self.cut_at > 300 * MS:
+            self.limit, self.cut_at = max(self.limit * 0.85, 0.5 * len(self.fleet), 4.0), now
+        elif not slow and self.open >= 0.7 * self.limit:
+            self.limit += 2 / self.limit
         self.stir()
 
     def stands_out(self, appliance: Appliance) -> bool:
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
         health = appliance.learned
-        peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
-        if health.bad < 3 or health.bad_share() < 0.4 or not peers:
+        if health.bad < 3 or health.bad_share() < 0.4:
             return False
-        return sum(p.bad for p in peers) / (sum(p.good + p.bad for p in peers) + 1) < health.bad_share() / 2
-
-    def weigh(self, dispatch: Dispatch, outcome: Outcome, operation: Operation, health: Health) -> None:
-        """What the judge gets to see of an outcome."""
-        stage, appliance, how = self.stage, dispatch.appliance, outcome.how
-        trial = self.judging() and appliance.build == stage.build
-        times = self.times.setdefault((operation, appliance.kind), Times())
-        usual = times.quantile(0.9)
-        if not trial and how == SUCCEEDED:
-            times.add(outcome.took)
-        alone = self.alone()
-        if not self.judging() or how in (CANCELLED, *NEVER_RAN) or (alone and self.stage.phase != RELEASED):
-            return
-        failed = how in (ERROR, RESET)
-        if failed and self.stands_out(appliance):
-            return                          # guards against a failing machine being taken for a failing build
-        if how != TIMEOUT:
-            self.judge(operation, ERRORS).add(trial, failed, 1, alone)
-            self.judge(None, RARE).add(trial, failed, 1, alone)
-        young = appliance.started and self.host.now - appliance.started < SKIP
-        if not (alone or young or dispatch.learned) and self.host.now - health.sampled > APART:
-            # a cold or crowded one is slow whatever its build; so is all after a jump of load with none to compare
-            slow = how == TIMEOUT or (usual is not None and outcome.took > SLOW_BY * usual)
-            self.judge(operation, SLOW).add(trial, failed or slow)
-            health.sampled = self.host.now
-        if how == SUCCEEDED and self.known["flag_share"] > 0:
-            self.flagged(trial, 0, 1)
-        if self.log_ratio() > log(1 / ALPHA):
-            self.review()
-
-    def adapt(self, operation: Operation, outcome: Outcome) -> None:
-        """The bound on own open dispatches follows how quickly answers come, as overload shows there first."""
-        now = self.host.now
-        slow = outcome.how == TIMEOUT or outcome.took > 0.7 * operation.slo_time
-        if slow and now - self.cut_at > 300 * MS:
-            self.limit, self.cut_at = max(self.limit * 0.85, 0.5 * len(self.fleet), 4.0), now
-        elif not slow and self.open >= 0.7 * self.limit:
-            self.limit += 2 / self.limit
+        peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
+        total = sum(p.good + p.bad for p in peers) + 1
+        return bool(peers) and sum(p.bad for p in peers) / total < health.bad_share() / 2
 
-    # ---- pick: which appliance -----------------------------------------------------------------------
+    # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
         """The cap of a build on trial; None for one that is not."""
         stage = self.stage
@@ -350,17 +352,13 @@
         return stage.cap        # on the way back it falls to 0 only when earlier machines are there
 
     def exposure(self, operation: Operation) -> Exposure:
-        key = operation if self.known["per_operation"] else None
-        if key not in self.exposures:
-            self.exposures[key] = Exposure(self.known)
-        return self.exposures[key]
+        return self.exposures.setdefault(operation if self.known["per_operation"] else None, Exposure(self.known))
 
     def warmth(self, appliance: Appliance) -> float:
         """The share of its capacity that a started appliance has at least."""
-        age = self.host.now - appliance.started
+        age, cold = self.host.now - appliance.started, self.known["cold_share"]
         if not appliance.started or age >= self.known["warm_time"]:
             return 1.0
-        cold = self.known["cold_share"]
         return cold + (1 - cold) * max(0, age) / self.known["warm_time"]
 
     def cold_room(self, appliance: Appliance) -> bool:
@@ -377,47 +375,54 @@
         even = len(self.recent) / 4 * span / S / max(1, len(self.fleet))
         return len(sends) < 1 + even * warmth * min(1.3, self.known["fall_multiple"] / 2)
 
-    def may_go(self, inv: Invocation, appliance: Appliance, group: Appliance | None) -> bool:
+    def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
+        """Rule 2, for whatever was sent before and may have run or still be out."""
+        operation, now = inv.operation, self.host.now
+        maybe = [d for d in inv.dispatches if d.ended not in NEVER_RAN]
+        if not self.known["may_duplicate"] and any(d.ended is None for d in maybe):
+            return False
+        if not maybe or operation.effect == IDEMPOTENT:
+            return True
+        return operation.effect == FINGERPRINTED and all(
+            now < d.sent + operation.window - 50 * MS and (
+                operation.group == "all" or (appliance.zone == d.appliance.zone and (
+                    operation.group == "zone" or appliance.cell == d.appliance.cell))) for d in maybe)
+
+    def may_go(self, inv: Invocation, appliance: Appliance) -> bool:
         """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, one-way keys."""
-        health, now, operation = appliance.learned, self.host.now, inv.operation
-        if appliance.state != READY or health.shut_until > now or (health.strikes and health.open):
+        health, stage = appliance.learned, self.stage
+        if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
             return False
-        if group is not None and operation.group != "all":
-            if appliance.zone != group.zone or (operation.group == "cell" and appliance.cell != group.cell):
-                return False
-        if not self.cold_room(appliance):
+        if not self.may_repeat(inv, appliance) or not self.cold_room(appliance):
             return False
         cap = self.cap_of(appliance)
         if cap is None:
-            return not self.known["one_way"] or appliance.build >= self.bound_keys.get(inv.key, 0)
-        if self.stage is None or self.stage.build < appliance.build or self.stage.number < self.known["guarded_stages"]:
-            if self.known["guarded_stages"] and operation.effect != IDEMPOTENT:
-                return False
-        return self.exposure(operation).room(now, cap)
+            return appliance.build >= self.bound_keys.get(inv.key, 0)
+        number = stage.number if self.on_newest(appliance) else 0
+        if number < self.known["guarded_stages"] and inv.operation.effect != IDEMPOTENT:
+            return False
+        return self.exposure(inv.operation).room(self.host.now, cap)
 
     def busy(self, appliance: Appliance) -> float:
-        health = appliance.learned
-        load = health.open + 0.5
-        if self.host.now - health.load_at < S:
-            load = max(load, health.load)
-        if health.unanswered and self.host.now - health.unanswered > 400 * MS:
+        health, now = appliance.learned, self.host.now
+        load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
+        if health.unanswered and now - health.unanswered > 400 * MS:
             load += 2                               # guards against appliances that stand still
         if appliance.zone != self.known["zone"]:
             load += 0.3
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
-    def pick(self, inv: Invocation, group: Appliance | None) -> Appliance | None:
+    def less_busy(self, fits: list[Appliance]) -> Appliance:
+        return min(self.chance.sample(fits, 2) if len(fits) > 2 else fits, key=self.busy)
+
+    def pick(self, inv: Invocation) -> Appliance | None:
         """The less busy of two random ones. Repeats go to the earlier build, unless the key must stay."""
-        tried = {id(d.appliance) for d in inv.dispatches}
-        fits = [a for a in self.fleet if self.may_go(inv, a, group)]
-        if tried:
-            earlier = [a for a in fits if self.cap_of(a) is None]
-            fits = earlier or fits
-            fits = [a for a in fits if id(a) not in tried] or fits
+        fits = [a for a in self.fleet if self.may_go(inv, a)]
         trial = [a for a in fits if self.cap_of(a) is not None]
         earlier = [a for a in fits if self.cap_of(a) is None]
         if trial and earlier:
-            if self.stage.phase != ON_TRIAL or (self.vote_key and self.vote_key[2] == BACK):    # no more than must
+            judged_bad = self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK)
+            if judged_bad or inv.dispatches:
                 fits = earlier
             else:       # as much as the cap allows, so that it is judged at its full load before it is released
                 best = self.less_busy(trial)
@@ -425,34 +430,31 @@
                 usual = self.open / sum(a.weight for a in places)
                 room = 0.5 if self.known["in_place"] else 1.5      # beside: the fleet has grown, its load fallen
                 fits = [best] if best.learned.open < usual * best.weight * self.warmth(best) + room else earlier
+        tried = {id(d.appliance) for d in inv.dispatches}
+        fits = [a for a in fits if id(a) not in tried] or fits
         return self.less_busy(fits) if fits else None
 
-    def less_busy(self, fits: list[Appliance]) -> Appliance:
-        return min(self.chance.sample(fits, 2) if len(fits) > 2 else fits, key=self.busy)
-
-    # ---- votes -----------------------------------------------------------------------------------------
+    # ---- votes -------------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
-        old, now = self.stage, self.host.now
+        old, known = self.stage, self.known
         if stage.answer not in (None, "ok"):        # a refused vote brings no news, whatever its fields say
-            if self.vote_key and self.casts < 2 and stage.answer != "moot":
-                verdict, self.vote_key = self.vote_key[2], None
-                self.plan(verdict)
+            if stage.answer != "moot":
+                self.recast(self.vote)
             return
         self.stage = stage
         if old is None or stage.build != old.build:
-            self.judges = {}
+            self.jury.reset()
             self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= stage.build}
         if stage.phase not in (ON_TRIAL, RELEASED):
             self.bound_keys.clear()
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
-            self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}, "
-                          f"{self.evidence()}")
-            self.vote_key, self.casts, self.holding = None, 0, 0
-            self.stage_since = now - stage.age
-            agents = max(1, self.known["agents"])
-            chance = self.known["vote_allowance"] * self.known["vote_life"] / S / agents
-            if self.known["control"] == "share":
-                chance = max(chance, self.known["on_votes"] / agents)
+            self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}: "
+                          f"{self.jury.evidence()}")
+            self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
+            agents = max(1, known["agents"])
+            chance = known["vote_allowance"] * known["vote_life"] / S / agents
+            if known["control"] == "share":
+                chance = max(chance, known["on_votes"] / agents)
             self.votes = self.chance.random() < chance
             self.tend(stage)
             self.stir()
@@ -462,84 +464,71 @@
         now = self.stage
         if (now.build, now.number, now.phase) == (stage.build, stage.number, stage.phase):
             self.review()
-            self.ticks += 1
-            if self.ticks % 4 == 0:
+            self.reviews += 1
+            if self.reviews % 4 == 0:
                 self.tell()
             self.host.at(self.host.now + 250 * MS, lambda: self.tend(stage))
 
     def review(self) -> None:
-        stage, now, ratio = self.stage, self.host.now, self.log_ratio()
+        stage, now, ratio = self.stage, self.host.now, self.jury.worst().log_ratio()
         if stage.phase not in (ON_TRIAL, RELEASED) or not self.votes:
             return
         if ratio > log(1 / ALPHA):
             self.plan(BACK)
         elif stage.phase == ON_TRIAL:
-            starts = [a.started for a in self.fleet if a.build == stage.build]
-            fresh = max(starts, default=0)
-            if fresh < self.stage_since:            # this stage's machines are not listed yet
-                fresh = self.stage_since + 8 * S
+            newest = max((a.started for a in self.fleet if a.build == stage.build), default=0)
+            if newest < self.stage_since:           # this stage's machines are not listed yet
+                newest = self.stage_since + 8 * S
             undecided = ratio > log(HOLD_ABOVE)
-            if undecided and not self.holding:
-                self.holding = now
-            held = self.holding and now - self.holding < HOLD_MOST and undecided
+            if undecided:
+                self.undecided_since = self.undecided_since or now
+            held = undecided and now - self.undecided_since < HOLD_MOST
             if self.known["control"] == "timer":
                 if held:
                     self.plan(HOLD)
-            elif now >= fresh + ON_AFTER and not held:
+            elif now >= newest + ON_AFTER and not held:
                 self.plan(ON)
 
     def plan(self, verdict: str) -> None:
         """One vote at a random moment within the spread; cast anew once when it lapsed or was refused."""
-        key = (self.stage.build, self.stage.number, verdict)
-        if self.vote_key == key or (self.vote_key and self.vote_key[2] == BACK):
-            return
-        self.casts = self.casts + 1 if self.casts and verdict == ON else 1
-        self.vote_key = key
-        self.host.at(self.host.now + VOTE_SPREAD // 2 + self.chance.randrange(VOTE_SPREAD), lambda: self.cast(key))
-
-    def cast(self, key: tuple) -> None:
-        if key != self.vote_key or key[:2] != (self.stage.build, self.stage.number):
-            return
-        self.host.log(f"vote {key[2]} build {key[0]} stage {key[1]}: {self.evidence()}")
-        self.host.vote(*key)
-        self.host.at(self.host.now + self.known["vote_life"], lambda: self.lapse(key))
-
-    def lapse(self, key: tuple) -> None:
-        if key == self.vote_key and self.casts < 2:
-            self.vote_key = None
-            self.casts = 1
-            self.plan(key[2])
-            self.casts = 2
-
-    # ---- invocations: holding, dispatching, the final answer --------------------------------------------
+        vote = (self.stage.build, self.stage.number, verdict)
+        if self.vote != vote and not (self.vote and self.vote[2] == BACK):
+            self.vote, self.may_recast = vote, True
+            self.host.at(self.host.now + self.some(2 * VOTE_SPREAD) - VOTE_SPREAD // 2, lambda: self.cast(vote))
+
+    def cast(self, vote: tuple) -> None:
+        if vote == self.vote:
+            self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: {self.jury.evidence()}")
+            self.host.vote(*vote)
+            self.host.at(self.host.now + self.known["vote_life"], lambda: self.recast(vote))
+
+    def recast(self, vote: tuple | None) -> None:
+        if vote and vote == self.vote and self.may_recast:
+            self.may_recast = False
+            self.host.at(self.host.now + self.some(VOTE_SPREAD), lambda: self.cast(vote))
+
+    # ---- invocations: holding, dispatching, the final answer ----------------------------------------------
     def stir(self) -> None:
         """Something changed: the best held invocations look again."""
-        room = int(self.limit - self.open) + 1
-        for inv in sorted(self.held, key=lambda i: (-i.operation.billed_value, i.taken))[:max(0, min(room, 4))]:
-            self.host.wake(inv)
-
-    def note_taken(self, inv: Invocation) -> None:
-        now = self.host.now
-        self.recent.append(now)
-        if len(self.recent) > 4000:
-            self.recent.popleft()
-        self.spare_retries = min(20.0, self.spare_retries + 0.2)
-        self.exposure(inv.operation).take(now)
+        room = min(int(self.limit - self.open) + 1, 4)
+        if self.held and room > 0:
+            for inv in sorted(self.held, key=lambda i: (-i.operation.billed_value, i.taken))[:room]:
+                self.host.wake(inv)
 
     def handle(self, inv: Invocation) -> Steps:
         operation, known, host = inv.operation, self.known, self.host
-        self.note_taken(inv)
+        self.recent.append(host.now)
+        self.spare_retries = min(20.0, self.spare_retries + 0.2)
+        self.exposure(operation).take(host.now)
         end = inv.expires - 2 * known["tick"]               # rule 1: the last moment for our answer
         useful = end if operation.late_value > 0 else min(end, inv.taken + operation.slo_time)
-        group: Appliance | None = None                      # rule 2: where it may have run, and since when
-        ran_at = 0
         while True:
             # 1. a place, or hold; overload is told by how long the oldest held one has waited
             held_until = min(useful, host.now + operation.slo_time // 3)
             place = None
             while not inv.concluded:
                 if self.open < self.limit:
-                    place = self.pick(inv, group)
+                    place = self.pick(inv)
                 if place is not None or host.now >= held_until:
                     break
                 self.held.append(inv)
@@ -548,79 +537,62 @@
             if inv.concluded:
                 return
             if place is None:
-                yield self.give_up(inv, group)
-                return
-            # 2. dispatch
-            patience = max(end - host.now, MS)
-            if operation.effect != SIDE_EFFECTING and not known["may_duplicate"] and not inv.dispatches:
-                patience = max((useful - host.now) * 6 // 10, MS)
-            second_at = None
-            if known["may_duplicate"] and operation.effect != SIDE_EFFECTING and self.calm():
-                second_at = host.now + (useful - host.now) // 2
-            dispatch = self.send(inv, place, patience, second_at)
-            outcome = yield dispatch
-            # 3. what came of it; a second copy where allowed
-            while not inv.concluded and (inv.streaming or (open_ := [d for d in inv.dispatches if not d.ended])):
-                if outcome is None and not inv.streaming and len(open_) == 1 and host.now >= (second_at or end):
-                    ran = min(d.sent for d in inv.dispatches)
-                    keep = open_[0].appliance
-                    if operation.effect == IDEMPOTENT or host.now < ran + operation.window - 50 * MS:
-                        place = self.pick(inv, None if operation.effect == IDEMPOTENT else keep)
-                        if place is not None and place is not keep and self.may_retry(inv, 4.0):
-                            outcome = yield self.send(inv, place, max(end - host.now, MS), None)
-                            continue
-                    second_at = end
-                outcome = yield Wait(end if inv.streaming or second_at is None or host.now >= second_at else second_at)
+                break
+            # 2. dispatch; a second copy where one is allowed and little waits
+            patience, second_at = end - host.now, end
+            if operation.effect != SIDE_EFFECTING:
+                if known["may_duplicate"] and not self.held and self.open < 0.8 * self.limit:
+                    second_at = host.now + (useful - host.now) // 2
+                elif not known["may_duplicate"] and not inv.dispatches:
+                    patience = (useful - host.now) * 6 // 10
+            yield self.send(inv, place, patience, second_at)
+            while not inv.concluded and (inv.streaming or any(d.ended is None for d in inv.dispatches)):
                 if host.now >= end and not inv.streaming:
                     break
-            if inv.concluded:
-                for d in inv.dispatches:
-                    if not d.ended and known["may_cancel"]:
-                        yield Cancel(d)
-                return
-            # 4. again, as its kind allows
-            maybe = [d for d in inv.dispatches if d.ended not in NEVER_RAN]
-            if maybe:
-                group, ran_at = maybe[0].appliance, min(d.sent for d in maybe)
-            again = host.now < useful - 20 * MS and self.may_retry(inv) and not (
-                maybe and (operation.effect == SIDE_EFFECTING or (
-                    operation.effect == FINGERPRINTED and host.now > ran_at + operation.window - 50 * MS)))
-            if not again:
-                yield self.give_up(inv, group)
-                for d in inv.dispatches:
-                    if not d.ended and known["may_cancel"]:
-                        yield Cancel(d)
-                return
-
-    def calm(self) -> bool:
-        return not self.held and self.open < 0.8 * self.limit
+                if host.now >= second_at and not inv.streaming:
+                    second_at = end
+                    place = self.pick(inv)
+                    if place is not None and all(d.appliance is not place for d in inv.dispatches) and (
+                            self.may_retry(inv, 4.0)):
+                        yield self.send(inv, place, end - host.now, end)
+                        continue
+                yield Wait(second_at if host.now < second_at else None)
+            # 3. again, if there is use in it
+            if inv.concluded or host.now >= useful - 20 * MS or not self.may_retry(inv, 1.0) or not any(
+                    self.may_repeat(inv, a) for a in self.fleet):
+                break
+        if not inv.concluded:
+            yield self.give_up(inv)
+        for dispatch in inv.dispatches:
+            if dispatch.ended is None and known["may_cancel"]:
+                yield Cancel(dispatch)
 
-    def may_retry(self, inv: Invocation, price: float = 1.0) -> bool:
+    def may_retry(self, inv: Invocation, price: float) -> bool:
         """Guards against retry storms: further dispatches are a small part of the invocations taken."""
         if len(inv.dispatches) >= self.known["dispatch_limit"] or self.spare_retries < price:
             return False
         self.spare_retries -= price
         return True
 
-    def send(self, inv: Invocation, place: Appliance, patience: int, until: int | None) -> Dispatch:
+    def send(self, inv: Invocation, place: Appliance, patience: int, until: int) -> Dispatch:
         """Books a dispatch that the gate has let through."""
         now, health = self.host.now, place.learned
+        self.open += 1
         health.open += 1
         health.load += 1
-        self.open += 1
         health.unanswered = health.unanswered or now
         if self.warmth(place) < 1.0:
             health.sends.append(now)
         if self.cap_of(place) is not None:
-            self.exposure(inv.operation).sent(now)
-        usual = self.open / sum(a.weight for a in self.fleet)
-        crowded = health.open > 1 + 1.5 * usual * place.weight
-        return Dispatch(place, patience, until, learned=crowded)
+            exposure = self.exposure(inv.operation)
+            exposure.sends.append([now, exposure.taken])
+        crowded = health.open > 1 + 1.5 * self.open / sum(a.weight for a in self.fleet) * place.weight
+        return Dispatch(place, max(patience, MS), until, learned=crowded)
 
-    def give_up(self, inv: Invocation, group: Appliance | None) -> Throttle | Terminate:
+    def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
         operation = inv.operation
-        harmless = operation.effect == IDEMPOTENT or group is None or (
+        harmless = operation.effect == IDEMPOTENT or all(d.ended in NEVER_RAN for d in inv.dispatches) or (
             operation.effect == FINGERPRINTED and operation.group == "all")
         advice = min(self.known["max_advice"], S) if self.known["may_advise"] else 0
         return Throttle(advice) if harmless else Terminate()
