--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -23,7 +23,7 @@
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs, and for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the width of the Normal prior: small blocks
-FLAGS, RARE = (40, 0.2), (60, 0.05)         # look for much at once, large ones for little
+FLAGS, RARE = (80, 0.2), (60, 0.05)         # look for much at once, large ones for little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
@@ -465,7 +465,7 @@
         if (now.build, now.number, now.phase) == (stage.build, stage.number, stage.phase):
             self.review()
             self.reviews += 1
-            if self.reviews % 4 == 0:
+            if self.reviews % 2 == 0:
                 self.tell()
             self.host.at(self.host.now + 250 * MS, lambda: self.tend(stage))
 
