--- a/cartweir/drill/adapter.py
+++ b/cartweir/drill/adapter.py
@@ -234,12 +234,9 @@
             case "COMPLAINT":
                 if appliance is not None and row["service"] in self.operations:
                     agent.on_flag(self.operations[row["service"]], appliance, row.get("lateness", 0))
-            case "SAMPLED":
-                if appliance is not None:
-                    load = {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS}
-                    agent.on_probed(appliance, OUTCOMES.get(row["verdict"], ours.ERROR), row.get("rtt", 0), load)
             case "HEARD":
                 agent.on_message(row["who"], row.get("body", b""))
+            # SAMPLED calls for nothing: no probes are sent so far
             case "UNDER_WAY":
                 inv = self.invocations.get(row["requestId"])
                 if inv is not None:
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -1,9 +1,8 @@
 """All decisions of one cartweir instance; types in and out are in interface.py, the host is engine.py.
 
 The host makes one Agent(host, known, chance) an instance: `known` is the plain map of settings, `chance` its
-only random source. It calls on_list, on_stage, on_tally, on_flag, on_probed, on_message as news comes,
-observe() for every outcome, and runs handle() for each invocation taken: a generator that yields what it
-wants done (Dispatch, Wait, Cancel, Throttle, Terminate) and is resumed with an Outcome or None.
+only random source. It calls on_list, on_stage, on_tally, on_flag, on_message as news comes, observe() for
+every outcome, and runs handle() for each invocation taken: a generator that yields what it wants done.
 Sections: judge, exposure, health, pick, votes, invocation. Times are whole microseconds.
 """
 from __future__ import annotations
@@ -12,23 +11,25 @@
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Mapping
+from itertools import accumulate
 from math import log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON, ON_TRIAL,
-                        READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Cancel,
-                        Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps, Tally, Terminate, Throttle, Wait)
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
+                        ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
+                        Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps,
+                        Tally, Terminate, Throttle, Wait)
 
 MS, S = 1_000, 1_000_000
 ALPHA = 0.05                                # the paper's level
-EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs, and for each stream
-SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the width of the Normal prior: small blocks
+EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
+SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width: small blocks
 FLAGS, RARE = (80, 0.2), (60, 0.05)         # look for much at once, large ones for little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
-ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start; votes are spread over
+ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
@@ -43,19 +44,16 @@
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
         self.kept = (0, 0.0)                                # the earlier side of the last closed block
         self.blocks = 0
-        self.seen, self.failed = [0, 0], [0.0, 0.0]         # in all, for the log
 
     def add(self, trial: bool, failures: float, count: int, alone: bool) -> None:
-        """alone: the build is released and the earlier machines are gone, so the last earlier side stands in."""
+        """alone: released and the earlier machines are gone, so the last earlier side stands in."""
         self.counts[trial] += count
         self.failures[trial] += failures
-        self.seen[trial] += count
-        self.failed[trial] += failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
         if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
             return
-        self.kept = self.counts[False], self.failures[False]
+        self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
         floored = [(p * n + 0.5) / (n + 1) for p, n in zip(shares, self.counts)]
         spread = sum(p * (1 - p) / n for p, n in zip(floored, self.counts))
@@ -63,7 +61,6 @@
         self.precision = self.precision * FADE + 1 / spread
         self.weighted = self.weighted * FADE + (shares[True] - shares[False]) / spread
         self.counts, self.failures = [0, 0], [0.0, 0.0]
-        self.blocks += 1
 
     def log_ratio(self) -> float:
         """ln L; 0 while the new build looks no worse."""
@@ -87,12 +84,10 @@
 
     def too_long(self) -> float:
         """Well beyond the bin that holds nine tenths; without end on too few answers."""
-        below = 0.0
-        for edge, n in zip(EDGES, self.bins):
-            below += n
-            if self.total >= 40 and below >= 0.9 * self.total:
-                return SLOW_BY * edge
-        return float("inf")
+        if self.total < 40:
+            return float("inf")
+        place = next(i for i, below in enumerate(accumulate(self.bins)) if below >= 0.9 * self.total)
+        return SLOW_BY * EDGES[min(place, len(EDGES) - 1)]
 
 
 class Jury:
@@ -104,10 +99,7 @@
         self.times: dict[tuple, Times] = {}     # machines of one kind compare with their like
         self.untold = [0, 0, 0, 0]              # answers and reports, of earlier builds and of the trial
 
-    def reset(self) -> None:
-        self.judges, self.untold = {}, [0, 0, 0, 0]
-
-    def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1) -> None:
+    def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
         judge = self.judges.setdefault((operation, stream), Judge(*stream))
         judge.add(trial, failures, count, self.agent.alone())
@@ -117,24 +109,20 @@
 
     def evidence(self) -> str:
         worst = self.worst()
-        (old, new), (bad_old, bad_new) = worst.seen, worst.failed
-        return (f"ln L {worst.log_ratio():.2f} after {worst.blocks} blocks of {worst.block}, "
-                f"failed {bad_new:.0f}/{new} against {bad_old:.0f}/{old}")
+        return (f"ln L {worst.log_ratio():.2f}, failures {worst.weighted / (worst.precision or 1):+.3f}, "
+                f"{worst.blocks} blocks of {worst.block}")
 
-    def flags(self, trial: bool, flags: int, count: int) -> None:
+    def flagged(self, trial: bool, flags: int, count: int, own: bool = True) -> None:
         """Reported answers stand for those not reported too."""
+        self.untold[trial] += count * own
+        self.untold[2 + trial] += flags * own
         self.add(None, FLAGS, trial, flags / self.known["flag_share"], count)
 
-    def flagged(self, trial: bool, flags: int, count: int) -> None:
-        self.untold[trial] += count
-        self.untold[2 + trial] += flags
-        self.flags(trial, flags, count)
-
     def weigh(self, outcome: Outcome) -> None:
         """What is evidence in an outcome."""
         dispatch, how, now = outcome.dispatch, outcome.how, self.agent.host.now
-        operation, appliance, health = dispatch.invocation.operation, dispatch.appliance, dispatch.appliance.learned
-        trial, alone = self.agent.on_newest(appliance), self.agent.alone()
+        operation, appliance = dispatch.invocation.operation, dispatch.appliance
+        health, trial = appliance.learned, self.agent.on_newest(appliance)
         times = self.times.setdefault((operation, appliance.kind), Times())
         too_long = times.too_long()
         if not trial and how == SUCCEEDED:
@@ -147,10 +135,9 @@
         if how != TIMEOUT:
             self.add(operation, ERRORS, trial, failed)
             self.add(None, RARE, trial, failed)
+        # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
         young = appliance.started and now - appliance.started < SKIP
-        crowded = dispatch.learned
-        if not (alone or young or crowded) and now - health.sampled > APART:
-            # a cold or crowded one is slow whatever its build; so is all after a jump of load with none to compare
+        if not (young or dispatch.learned or self.agent.alone()) and now - health.sampled > APART:
             self.add(operation, SLOW, trial, failed or how == TIMEOUT or outcome.took > too_long)
             health.sampled = now
         if how == SUCCEEDED and self.known["flag_share"] > 0:
@@ -182,15 +169,14 @@
             count - i <= self.free + cap * (self.taken - send[1]) - 1e-9 for i, send in enumerate(self.sends))
 
 
+
 # ---- health: what is known of one appliance ------------------------------------------------------------
 class Health:
     def __init__(self) -> None:
         self.open = 0                       # own dispatches out
         self.good = self.bad = 0.0          # recent outcomes, halved now and then
-        self.shut_until = self.strikes = 0
-        self.silences = 0                   # ends without a word since its last answer
-        self.unanswered = 0                 # when the first dispatch since its last answer was sent; 0: none
-        self.sampled = 0                    # when its slowness was last sampled
+        self.shut_until = self.strikes = self.sampled = 0
+        self.silences = self.unanswered = 0     # since its last answer: silent ends, the first dispatch
         self.sends: deque[int] = deque()    # while cold
         self.load, self.load_at = 0.0, 0    # as reported, with own dispatches since
 
@@ -212,11 +198,6 @@
     def bad_share(self) -> float:
         return self.bad / (self.good + self.bad + 2)
 
-    def shut(self, now: int) -> int:
-        self.strikes = min(self.strikes + 1, 4)
-        self.shut_until = now + (S << self.strikes) // 2
-        return self.shut_until - now
-
 
 class Agent:
     """One instance: the news, the pick, the votes and the invocations."""
@@ -226,36 +207,33 @@
         self.fleet: list[Appliance] = []            # ready ones
         self.stage: Stage | None = None
         self.jury = Jury(self)
-        self.exposures: dict[Operation | None, Exposure] = {}
+        self.exposures: dict[Any, Exposure] = {}
         self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
         self.held: list[Invocation] = []
-        self.open, self.limit, self.cut_at = 0, 0.0, 0
-        self.recent: deque[int] = deque(maxlen=4000)    # when invocations were taken
-        self.spare_retries = 10.0
-        self.subscribed = False
+        self.open, self.limit, self.cut_at = 0, 0.0, 0      # own dispatches out, their bound, when it was cut
+        self.recent, self.spare_retries = deque(maxlen=4000), 10.0      # when invocations were taken
         self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
-        self.votes = self.may_recast = False
-        self.stage_since = self.undecided_since = self.reviews = 0
+        self.subscribed = self.votes = self.may_recast = False
+        self.stage_since = self.undecided_since = 0         # when the stage began; evidence first undecided
         if known["must_ask"]:
             host.subscribe()
             host.at(host.now + self.some(S), self.keep_asking)
 
     def some(self, time: int) -> int:
-        """Spreads agents out: from half the time to the whole of it."""
-        return self.chance.randrange(time // 2, time)
+        return self.chance.randrange(time // 2, time)           # spreads agents out
 
     # ---- the list ----
     def keep_asking(self) -> None:
-        """Until a subscription stands, ask again; well within the time after which not asking counts as told."""
+        """Until a subscription stands, ask again; well before not asking counts as having been told."""
         if not self.subscribed:
             self.host.subscribe()
             self.host.at(self.host.now + self.some(2 * S), self.keep_asking)
 
     def on_list(self, how: str, changed: list[Appliance]) -> None:
-        if how == "failed":                 # the notice does not say whether an earlier subscription still stands
+        if how == "failed":                 # the notice does not say whether an earlier one still stands
             if self.subscribed:
-                self.subscribed = False
                 self.host.at(self.host.now + self.some(S), self.keep_asking)
+            self.subscribed = False
             return
         self.subscribed = self.subscribed or how != "cached"
         news = {id(appliance) for appliance in changed}
@@ -265,16 +243,12 @@
         self.limit = max(self.limit, 2.0 * len(self.fleet))
         self.stir()
 
-    # ---- other news, and how builds stand to each other ----
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
         if self.judging() and tally.count:
             self.jury.add(tally.operation, SLOW, tally.build >= self.stage.build, tally.failures, tally.count)
             self.review()
 
-    def on_probed(self, appliance: Appliance, how: str, took: int, load: Mapping[str, float]) -> None:
-        """No probes are sent so far."""
-
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         if self.judging() and self.known["flag_share"] > 0:
             self.jury.flagged(self.on_newest(appliance), 1, 0)
@@ -282,13 +256,11 @@
 
     def on_message(self, sender: int, body: bytes) -> None:
         """Counts of reported answers from another agent: they are too rare for one agent's blocks."""
-        fields = body.decode("ascii", "replace").split()
-        if len(fields) == 5 and all(field.isdigit() for field in fields) and self.judging():
-            build, *figures = map(int, fields)
-            if build == self.stage.build:
-                for trial in (False, True):
-                    self.jury.flags(trial, figures[2 + trial], figures[trial])
-                self.review()
+        figures = [int(field) for field in body.split() if field.isdigit()]
+        if len(figures) == 5 and self.judging() and figures[0] == self.stage.build:
+            for trial in (False, True):
+                self.jury.flagged(trial, figures[3 + trial], figures[1 + trial], own=False)
+            self.review()
 
     def tell(self) -> None:
         untold, self.jury.untold = self.jury.untold, [0, 0, 0, 0]
@@ -302,8 +274,8 @@
         return self.stage is not None and appliance.build == self.stage.build
 
     def judging(self) -> bool:
-        return self.stage is not None and (self.stage.phase == RELEASED or (
-            self.stage.phase == ON_TRIAL and not self.alone()))
+        phase = self.stage.phase if self.stage else None
+        return phase == RELEASED or (phase == ON_TRIAL and not self.alone())
 
     # ---- every outcome passes here first ----
     def observe(self, outcome: Outcome) -> None:
@@ -311,14 +283,15 @@
         appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open -= 1
         health.note(outcome, now)
-        key = dispatch.invocation.key
-        if how == SUCCEEDED and key is not None and self.stage is not None and appliance.build >= self.stage.build:
-            if self.known["one_way"] and not self.alone():
-                self.bound_keys[key] = appliance.build
-        if how not in (SUCCEEDED, CANCELLED, MOOT) and appliance.state == READY and now >= health.shut_until and (
+        key = dispatch.invocation.key if self.known["one_way"] and not self.alone() else None
+        if how == SUCCEEDED and key and appliance.build >= self.stage.build:
+            self.bound_keys[key] = appliance.build
+        if how not in (SUCCEEDED, CANCELLED, MOOT) and now >= health.shut_until and (
                 health.silences > 3 or self.stands_out(appliance)):
-            self.host.log(f"shut {appliance.ident} for {health.shut(now) // MS} ms: {how}, silences "
-                          f"{health.silences}, bad {health.bad:.0f} good {health.good:.0f}")
+            health.strikes = min(health.strikes + 1, 4)
+            health.shut_until = now + (S << health.strikes) // 2
+            self.host.log(f"shut {appliance.ident}: {how}, strike {health.strikes}, silent {health.silences} "
+                          f"bad {health.bad:.0f}, good {health.good:.0f}")
         self.jury.weigh(outcome)
         if self.jury.worst().log_ratio() > log(1 / ALPHA):
             self.review()
@@ -332,12 +305,10 @@
 
     def stands_out(self, appliance: Appliance) -> bool:
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
-        health = appliance.learned
-        if health.bad < 3 or health.bad_share() < 0.4:
-            return False
+        share = appliance.learned.bad_share() if appliance.learned.bad >= 3 else 0
         peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
-        total = sum(p.good + p.bad for p in peers) + 1
-        return bool(peers) and sum(p.bad for p in peers) / total < health.bad_share() / 2
+        bad, total = sum(p.bad for p in peers), sum(p.good + p.bad for p in peers) + 1
+        return share >= 0.4 and len(peers) > 0 and bad / total < share / 2
 
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
@@ -346,50 +317,47 @@
         if stage is None:
             return None if appliance.build <= min((a.build for a in self.fleet), default=0) else 0.0
         if appliance.build > stage.build:
-            return self.known["caps"][0] if self.known["caps"] else 0.0
+            return (*self.known["caps"], 0.0)[0]    # not announced yet: as in its first stage
         if appliance.build < stage.build or stage.phase == RELEASED:
             return None
         return stage.cap        # on the way back it falls to 0 only when earlier machines are there
 
     def exposure(self, operation: Operation) -> Exposure:
-        return self.exposures.setdefault(operation if self.known["per_operation"] else None, Exposure(self.known))
+        key = operation if self.known["per_operation"] else None
+        return self.exposures.setdefault(key, Exposure(self.known))
 
     def warmth(self, appliance: Appliance) -> float:
         """The share of its capacity that a started appliance has at least."""
-        age, cold = self.host.now - appliance.started, self.known["cold_share"]
-        if not appliance.started or age >= self.known["warm_time"]:
-            return 1.0
-        return cold + (1 - cold) * max(0, age) / self.known["warm_time"]
+        age, warm_time = max(0, self.host.now - appliance.started), self.known["warm_time"]
+        ramp = age / warm_time if appliance.started and age < warm_time else 1.0
+        return ramp + (1 - ramp) * self.known["cold_share"]
 
     def cold_room(self, appliance: Appliance) -> bool:
-        """Guards a cold appliance against the sum of all agents: each keeps to its own even part of the traffic,
-        cut to what is warm, so the sum stays near what a warm appliance bears. A burst raises it for all."""
-        warmth = self.warmth(appliance)
-        if warmth >= 1.0:
+        """Guards a cold appliance against the sum of all agents: each keeps to its own even part of the
+        traffic, cut to what is warm, so the sum stays near what a warm one bears."""
+        if self.warmth(appliance) >= 1.0:
             return True
         now, span, sends = self.host.now, self.known["fall_time"], appliance.learned.sends
-        while sends and sends[0] <= now - span:
-            sends.popleft()
-        while self.recent and self.recent[0] <= now - 4 * S:
-            self.recent.popleft()
+        for times, oldest in ((sends, now - span), (self.recent, now - 4 * S)):
+            while times and times[0] <= oldest:
+                times.popleft()
         even = len(self.recent) / 4 * span / S / max(1, len(self.fleet))
-        return len(sends) < 1 + even * warmth * min(1.3, self.known["fall_multiple"] / 2)
+        return len(sends) < 1 + even * self.warmth(appliance) * min(1.3, self.known["fall_multiple"] / 2)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
-        operation, now = inv.operation, self.host.now
-        maybe = [d for d in inv.dispatches if d.ended not in NEVER_RAN]
+        operation, maybe = inv.operation, [d for d in inv.dispatches if d.ended not in NEVER_RAN]
         if not self.known["may_duplicate"] and any(d.ended is None for d in maybe):
             return False
         if not maybe or operation.effect == IDEMPOTENT:
             return True
         return operation.effect == FINGERPRINTED and all(
-            now < d.sent + operation.window - 50 * MS and (
-                operation.group == "all" or (appliance.zone == d.appliance.zone and (
-                    operation.group == "zone" or appliance.cell == d.appliance.cell))) for d in maybe)
+            self.host.now < d.sent + operation.window - 50 * MS and (operation.group == "all" or (
+                appliance.zone == d.appliance.zone and operation.group == "zone") or (
+                appliance.cell == d.appliance.cell and operation.group == "cell")) for d in maybe)
 
     def may_go(self, inv: Invocation, appliance: Appliance) -> bool:
-        """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, one-way keys."""
+        """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, keys."""
         health, stage = appliance.learned, self.stage
         if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
             return False
@@ -399,17 +367,14 @@
         if cap is None:
             return appliance.build >= self.bound_keys.get(inv.key, 0)
         number = stage.number if self.on_newest(appliance) else 0
-        if number < self.known["guarded_stages"] and inv.operation.effect != IDEMPOTENT:
-            return False
-        return self.exposure(inv.operation).room(self.host.now, cap)
+        return self.exposure(inv.operation).room(self.host.now, cap) and (
+            inv.operation.effect == IDEMPOTENT or number >= self.known["guarded_stages"])
 
     def busy(self, appliance: Appliance) -> float:
         health, now = appliance.learned, self.host.now
         load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
-        if health.unanswered and now - health.unanswered > 400 * MS:
-            load += 2                               # guards against appliances that stand still
-        if appliance.zone != self.known["zone"]:
-            load += 0.3
+        load += 2 * (0 < health.unanswered < now - 400 * MS)    # guards against appliances that stand still
+        load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
     def less_busy(self, fits: list[Appliance]) -> Appliance:
@@ -421,15 +386,13 @@
         trial = [a for a in fits if self.cap_of(a) is not None]
         earlier = [a for a in fits if self.cap_of(a) is None]
         if trial and earlier:
-            judged_bad = self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK)
-            if judged_bad or inv.dispatches:
+            if inv.dispatches or self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK):
                 fits = earlier
-            else:       # as much as the cap allows, so that it is judged at its full load before it is released
-                best = self.less_busy(trial)
-                places = [a for a in self.fleet if self.known["in_place"] or a.build < best.build]
-                usual = self.open / sum(a.weight for a in places)
-                room = 0.5 if self.known["in_place"] else 1.5      # beside: the fleet has grown, its load fallen
-                fits = [best] if best.learned.open < usual * best.weight * self.warmth(best) + room else earlier
+            else:       # as much as the cap allows, so that it is judged at full load before its release
+                best, beside = self.less_busy(trial), not self.known["in_place"]
+                usual = self.open / sum(a.weight for a in self.fleet if a.build < best.build or not beside)
+                fair = usual * best.weight * self.warmth(best) + (1.5 if beside else 0.5)
+                fits = [best] if best.learned.open < fair else earlier
         tried = {id(d.appliance) for d in inv.dispatches}
         fits = [a for a in fits if id(a) not in tried] or fits
         return self.less_busy(fits) if fits else None
@@ -443,31 +406,25 @@
             return
         self.stage = stage
         if old is None or stage.build != old.build:
-            self.jury.reset()
-            self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= stage.build}
-        if stage.phase not in (ON_TRIAL, RELEASED):
-            self.bound_keys.clear()
+            self.jury.judges, self.jury.untold = {}, [0, 0, 0, 0]
+        kept = stage.build if stage.phase in (ON_TRIAL, RELEASED) else 1 << 32
+        self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
             self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}: "
                           f"{self.jury.evidence()}")
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
-            agents = max(1, known["agents"])
-            chance = known["vote_allowance"] * known["vote_life"] / S / agents
-            if known["control"] == "share":
-                chance = max(chance, known["on_votes"] / agents)
-            self.votes = self.chance.random() < chance
+            voters = max(known["vote_allowance"] * known["vote_life"] / S,
+                         known["on_votes"] if known["control"] == "share" else 0)
+            self.votes = self.chance.random() < voters / known["agents"]
             self.tend(stage)
             self.stir()
 
     def tend(self, stage: Stage) -> None:
         """Looks again from time to time for as long as this word of the platform stands."""
-        now = self.stage
-        if (now.build, now.number, now.phase) == (stage.build, stage.number, stage.phase):
+        if all(getattr(self.stage, name) == getattr(stage, name) for name in ("build", "number", "phase")):
             self.review()
-            self.reviews += 1
-            if self.reviews % 2 == 0:
-                self.tell()
-            self.host.at(self.host.now + 250 * MS, lambda: self.tend(stage))
+            self.tell()
+            self.host.at(self.host.now + 400 * MS, lambda: self.tend(stage))
 
     def review(self) -> None:
         stage, now, ratio = self.stage, self.host.now, self.jury.worst().log_ratio()
@@ -480,21 +437,20 @@
             if newest < self.stage_since:           # this stage's machines are not listed yet
                 newest = self.stage_since + 8 * S
             undecided = ratio > log(HOLD_ABOVE)
-            if undecided:
-                self.undecided_since = self.undecided_since or now
+            self.undecided_since = self.undecided_since or (now if undecided else 0)
             held = undecided and now - self.undecided_since < HOLD_MOST
-            if self.known["control"] == "timer":
-                if held:
-                    self.plan(HOLD)
-            elif now >= newest + ON_AFTER and not held:
+            if held and self.known["control"] == "timer":
+                self.plan(HOLD)
+            elif not held and self.known["control"] != "timer" and now >= newest + ON_AFTER:
                 self.plan(ON)
 
     def plan(self, verdict: str) -> None:
         """One vote at a random moment within the spread; cast anew once when it lapsed or was refused."""
         vote = (self.stage.build, self.stage.number, verdict)
-        if self.vote != vote and not (self.vote and self.vote[2] == BACK):
+        if self.vote not in (vote, (*vote[:2], BACK)):
             self.vote, self.may_recast = vote, True
-            self.host.at(self.host.now + self.some(2 * VOTE_SPREAD) - VOTE_SPREAD // 2, lambda: self.cast(vote))
+            due = self.host.now + self.some(2 * VOTE_SPREAD) - VOTE_SPREAD // 2
+            self.host.at(due, lambda: self.cast(vote))
 
     def cast(self, vote: tuple) -> None:
         if vote == self.vote:
@@ -510,10 +466,9 @@
     # ---- invocations: holding, dispatching, the final answer ----------------------------------------------
     def stir(self) -> None:
         """Something changed: the best held invocations look again."""
-        room = min(int(self.limit - self.open) + 1, 4)
-        if self.held and room > 0:
-            for inv in sorted(self.held, key=lambda i: (-i.operation.billed_value, i.taken))[:room]:
-                self.host.wake(inv)
+        room = max(0, min(int(self.limit - self.open) + 1, 4))
+        for inv in sorted(self.held, key=lambda i: (-i.operation.billed_value, i.taken))[:room]:
+            self.host.wake(inv)
 
     def handle(self, inv: Invocation) -> Steps:
         operation, known, host = inv.operation, self.known, self.host
@@ -534,9 +489,7 @@
                 self.held.append(inv)
                 yield Wait(min(held_until, host.now + 50 * MS))
                 self.held.remove(inv)
-            if inv.concluded:
-                return
-            if place is None:
+            if place is None or inv.concluded:
                 break
             # 2. dispatch; a second copy where one is allowed and little waits
             patience, second_at = end - host.now, end
@@ -549,14 +502,12 @@
             while not inv.concluded and (inv.streaming or any(d.ended is None for d in inv.dispatches)):
                 if host.now >= end and not inv.streaming:
                     break
-                if host.now >= second_at and not inv.streaming:
-                    second_at = end
-                    place = self.pick(inv)
-                    if place is not None and all(d.appliance is not place for d in inv.dispatches) and (
-                            self.may_retry(inv, 4.0)):
-                        yield self.send(inv, place, end - host.now, end)
-                        continue
-                yield Wait(second_at if host.now < second_at else None)
+                if host.now < second_at or inv.streaming:
+                    yield Wait(second_at if host.now < second_at else None)
+                    continue
+                second_at, place = end, self.pick(inv)
+                if place and place not in [d.appliance for d in inv.dispatches] and self.may_retry(inv, 4.0):
+                    yield self.send(inv, place, end - host.now, end)
             # 3. again, if there is use in it
             if inv.concluded or host.now >= useful - 20 * MS or not self.may_retry(inv, 1.0) or not any(
                     self.may_repeat(inv, a) for a in self.fleet):
@@ -569,10 +520,9 @@
 
     def may_retry(self, inv: Invocation, price: float) -> bool:
         """Guards against retry storms: further dispatches are a small part of the invocations taken."""
-        if len(inv.dispatches) >= self.known["dispatch_limit"] or self.spare_retries < price:
-            return False
-        self.spare_retries -= price
-        return True
+        if may := len(inv.dispatches) < self.known["dispatch_limit"] and self.spare_retries >= price:
+            self.spare_retries -= price
+        return may
 
     def send(self, inv: Invocation, place: Appliance, patience: int, until: int) -> Dispatch:
         """Books a dispatch that the gate has let through."""
@@ -591,8 +541,7 @@
 
     def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
-        operation = inv.operation
-        harmless = operation.effect == IDEMPOTENT or all(d.ended in NEVER_RAN for d in inv.dispatches) or (
-            operation.effect == FINGERPRINTED and operation.group == "all")
+        repeatable = (IDEMPOTENT, FINGERPRINTED) if inv.operation.group == "all" else (IDEMPOTENT,)
+        harmless = inv.operation.effect in repeatable or all(d.ended in NEVER_RAN for d in inv.dispatches)
         advice = min(self.known["max_advice"], S) if self.known["may_advise"] else 0
         return Throttle(advice) if harmless else Terminate()
