--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,131 @@
+"""A scene: one instance with a printed trace of what it does, compared with the kept one."""
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from cartweir.engine import Engine
+from cartweir.interface import (DRAINING, FINGERPRINTED, IDEMPOTENT, ON_TRIAL, RELEASED, SIDE_EFFECTING, SUCCEEDED,
+                                Appliance, Dispatch, Invocation, Operation, Outcome, Stage)
+
+MS, S = 1_000, 1_000_000
+TRACES = Path(__file__).parent / "traces"
+KNOWN = dict(agents=1, me=0, zone="a", tick=5 * MS, may_cancel=True, may_probe=True, may_message=False,
+             may_duplicate=False, may_advise=True, max_advice=500 * MS, dispatch_limit=4, cold_share=0.4,
+             warm_time=5 * S, fall_multiple=4.0, fall_time=S, drain_grace=S, control="any", per_operation=False,
+             in_place=False, window=4 * S, free=1.0, caps=(0.1, 0.4, 1.0), shares=(0.1, 0.35, 1.0),
+             guarded_stages=0, one_way=False, on_votes=1, vote_life=6 * S, vote_allowance=100.0, flag_share=0.0,
+             must_ask=False)
+
+
+class Scene:
+    """Plays the host's world; being the door too, it writes each action down."""
+
+    def __init__(self, **known) -> None:
+        self.lines: list[str] = []
+        self.out: list[Dispatch] = []
+        self.draw = Operation("draw", IDEMPOTENT, slo_time=S, time_limit=3 * S)
+        self.order = Operation("order", FINGERPRINTED, "zone", 2 * S, slo_time=S, time_limit=3 * S)
+        self.issue = Operation("issue", SIDE_EFFECTING, slo_time=S, time_limit=3 * S)
+        self.engine = None
+        self.engine = Engine(0, 1, {**KNOWN, "operations": (self.draw, self.order, self.issue), **known}, self)
+        self.agent, self.fleet, self.count = self.engine.agent, {}, 0
+
+    # ---- the door ----
+    def say(self, text: str) -> None:
+        now = self.engine.now if self.engine else 0
+        self.lines.append(f"{now / S:8.3f}  {text}")
+
+    def dispatch(self, dispatch: Dispatch) -> None:
+        self.out.append(dispatch)
+        if not self.quiet:
+            self.say(f"dispatch {dispatch.invocation.ident} to {dispatch.appliance.ident}")
+
+    quiet = False
+
+    def cancel(self, dispatch: Dispatch) -> None:
+        self.say(f"cancel {dispatch.invocation.ident} at {dispatch.appliance.ident}")
+
+    def throttle(self, inv: Invocation, retry_after: int) -> None:
+        if not self.quiet:
+            self.say(f"throttle {inv.ident}, come back after {retry_after // MS} ms")
+
+    def terminate(self, inv: Invocation) -> None:
+        if not self.quiet:
+            self.say(f"terminate {inv.ident}")
+
+    def set_timer(self, due: int) -> None:
+        pass
+
+    def log(self, text: str) -> None:
+        self.say(f"log {text}")
+
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        self.say(f"vote {verdict} on build {build} stage {stage}")
+
+    def subscribe(self) -> None:
+        self.say("subscribe")
+
+    def fetch_list(self) -> None:
+        self.say("fetch list")
+
+    def probe(self, appliance: Appliance) -> None:
+        self.say(f"probe {appliance.ident}")
+
+    def message(self, to: int | None, body: bytes) -> None:
+        self.say(f"message {body.decode()}")
+
+    # ---- the world ----
+    def pass_to(self, time: int) -> None:
+        while self.engine._timers and self.engine._timers[0][0] <= time:
+            self.engine.now = max(self.engine.now, self.engine._timers[0][0])
+            self.engine._next_alarm = self.engine.now
+            self.engine.alarm()
+            self.engine.settle()
+        self.engine.now = time
+
+    def list(self, *names: str, build: int = 1, started: int = 0, state: str = "ready", zone: str = "a") -> None:
+        for name in names:
+            self.fleet.setdefault(name, Appliance(name, build, zone, started=started)).state = state
+        self.agent.on_list("changes", [self.fleet[name] for name in names])
+        self.engine.settle()
+
+    def stage(self, build: int, number: int, cap: float, phase: str = ON_TRIAL, answer: str | None = None) -> None:
+        self.agent.on_stage(Stage(build, number, phase, cap, 0, answer))
+        self.engine.settle()
+
+    def released(self) -> None:
+        self.stage(1, 2, 1.0, RELEASED)
+
+    def take(self, operation: Operation, left: int = 3 * S, key: str | None = None) -> Invocation:
+        self.count += 1
+        inv = Invocation(self.count, operation, self.engine.now, self.engine.now + left, key=key)
+        self.engine.take(inv)
+        self.engine.settle()
+        return inv
+
+    def end(self, dispatch: Dispatch, how: str = SUCCEEDED) -> None:
+        self.out.remove(dispatch)
+        took = self.engine.now - dispatch.sent
+        self.engine.outcome(Outcome(dispatch, how, took, how == SUCCEEDED or dispatch.invocation.concluded))
+        self.engine.settle()
+
+    def traffic(self, until: int, how=lambda dispatch: SUCCEEDED, every: int = 20 * MS) -> None:
+        """One invocation after another, each answered after 50 ms; only what is not routine is printed."""
+        self.quiet, number = True, 0
+        while self.engine.now < until:
+            self.pass_to(self.engine.now + every)
+            self.take((self.draw, self.draw, self.order)[number % 3])
+            number += 1
+            for dispatch in [d for d in self.out if d.sent <= self.engine.now - 50 * MS]:
+                self.end(dispatch, how(dispatch))
+        self.quiet = False
+
+    def matches(self, name: str) -> None:
+        path, text = TRACES / f"{name}.txt", "\n".join(self.lines) + "\n"
+        if os.environ.get("TRACE") == "write":
+            path.write_text(text)
+        assert text == path.read_text()
+
+
+__all__ = ["DRAINING", "MS", "S", "Scene"]
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,211 @@
+"""Short printed traces of decisions; each is kept in traces/ and read by people."""
+from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT
+from helpers import DRAINING, MS, S, Scene
+
+EARLIER, TRIAL = [f"old{n}" for n in range(8)], ["new0", "new1"]
+
+
+def on_trial(**known) -> Scene:
+    scene = Scene(**known)
+    scene.list(*EARLIER)
+    scene.released()
+    scene.traffic(2 * S)
+    scene.stage(2, 0, 0.2)
+    scene.list(*TRIAL, build=2, started=2 * S)
+    return scene
+
+
+def test_bad_build_is_sent_back():
+    scene = on_trial()
+    scene.traffic(8 * S, lambda d: ERROR if d.appliance.build == 2 and d.invocation.ident % 2 else "succeeded")
+    scene.matches("bad_build")
+
+
+def test_good_build_is_voted_on():
+    scene = on_trial()
+    scene.traffic(8 * S)
+    scene.matches("good_build")
+
+
+def test_no_block_closes_without_an_earlier_build():
+    scene = Scene()
+    scene.stage(2, 2, 1.0)
+    scene.list(*TRIAL, build=2)
+    scene.traffic(4 * S, lambda d: ERROR if d.invocation.ident % 2 else "succeeded")
+    scene.stage(2, 2, 1.0, GOING_BACK)
+    assert not scene.agent.jury.judges
+    assert "0 blocks" in scene.lines[-1]
+
+
+def test_a_released_build_is_judged_by_the_last_earlier_side():
+    scene = on_trial()
+    scene.traffic(6 * S)
+    scene.stage(2, 2, 1.0, "released")
+    scene.list(*EARLIER, state=DRAINING)
+    scene.traffic(9 * S, lambda d: ERROR if d.invocation.ident % 2 else "succeeded")
+    scene.matches("released_bad_build")
+
+
+def test_failing_machine_is_shut_and_its_build_stays():
+    scene = on_trial()
+    scene.traffic(7 * S, lambda d: ERROR if d.appliance.ident == "new0" else "succeeded")
+    scene.matches("failing_machine")
+
+
+def test_exposure_in_every_span():
+    """Spans that begin at any dispatch, also after the invocations that paid for earlier ones have left."""
+    scene = on_trial(free=2.0)
+    scene.traffic(9 * S)
+    scene.pass_to(14 * S)
+    scene.traffic(16 * S)
+    sends = [send[0] for send in scene.agent.exposure(scene.draw).sends]
+    taken = [n * 20 * MS + 14 * S for n in range(1, 101)]
+    assert len(sends) > 5
+    for first in sends:
+        span = [t for t in sends if first <= t]
+        paid = [t for t in taken if first < t <= span[-1]]
+        assert len(span) <= 2 + 0.2 * len(paid) + 1e-6
+
+
+def test_cap_zero_and_unannounced_builds():
+    scene = Scene()
+    scene.list("old0")
+    scene.released()
+    scene.list("new0", build=2)
+    for _ in range(4):
+        scene.take(scene.draw)
+    assert [d.appliance.ident for d in scene.out].count("new0") == 1
+    for dispatch in list(scene.out):
+        scene.end(dispatch)
+    scene.stage(2, 0, 0.0, GOING_BACK)
+    for _ in range(4):
+        scene.take(scene.draw)
+    assert [d.appliance.ident for d in scene.out] == ["old0"] * 4
+
+
+def test_one_way_keys_stay_or_are_throttled():
+    scene = Scene(one_way=True)
+    scene.list("old0")
+    scene.stage(2, 0, 0.1)
+    scene.list("new0", build=2)
+    scene.take(scene.draw, key="k")
+    scene.pass_to(50 * MS)
+    scene.end(scene.out[0])
+    scene.take(scene.draw, key="k")
+    scene.take(scene.draw, key="other")
+    scene.pass_to(S)
+    scene.matches("one_way_keys")
+
+
+def test_guarded_stages_take_idempotent_ones_only():
+    scene = Scene(guarded_stages=1, free=9.0)
+    scene.list("old0")
+    scene.stage(2, 0, 1.0)
+    scene.list("new0", build=2)
+    for operation in (scene.order, scene.issue, scene.draw):
+        scene.take(operation)
+    assert [d.appliance.ident for d in scene.out] == ["old0", "old0", "new0"]
+
+
+def test_each_effect_after_a_failure():
+    """Idempotent: again. Fingerprinted: again in its zone and window only. Side-effecting: only if it never ran."""
+    scene = Scene()
+    scene.list("a0", "a1")
+    scene.list("b0", zone="b")
+    scene.released()
+    for operation, how in ((scene.draw, ERROR), (scene.order, ERROR), (scene.issue, ERROR), (scene.issue, FULL)):
+        scene.take(operation)
+        for outcome in (how, TIMEOUT):
+            scene.pass_to(scene.engine.now + 100 * MS)
+            if scene.out:
+                scene.end(scene.out[0], outcome)
+        for dispatch in list(scene.out):
+            scene.end(dispatch)
+    scene.matches("effects")
+
+
+def test_held_past_its_window_is_not_sent_again():
+    scene = Scene()
+    scene.order.window = 200 * MS
+    scene.list("a0", "a1")
+    scene.released()
+    scene.take(scene.order)
+    scene.pass_to(190 * MS)
+    scene.end(scene.out[0], ERROR)
+    scene.pass_to(2 * S)
+    scene.matches("window")
+
+
+def test_nothing_goes_to_a_draining_appliance():
+    scene = Scene()
+    scene.list("a0", "a1")
+    scene.released()
+    scene.list("a0", state=DRAINING)
+    for _ in range(6):
+        scene.take(scene.draw)
+    assert {d.appliance.ident for d in scene.out} == {"a1"}
+
+
+def test_cold_budget():
+    """Guards a cold appliance: its part of the traffic, cut to what is warm, however idle it looks."""
+    scene = Scene()
+    scene.list("a0", "a1", "a2")
+    scene.released()
+    scene.traffic(4 * S)
+    scene.list("cold", started=4 * S)
+    scene.out.clear()
+    scene.agent.limit = 1000
+    for _ in range(100):
+        scene.take(scene.draw)
+    assert [d.appliance.ident for d in scene.out].count("cold") in range(1, 9)
+
+
+def test_answer_comes_in_time():
+    scene = Scene()
+    scene.list("a0")
+    scene.released()
+    scene.take(scene.draw, left=400 * MS)
+    scene.take(scene.issue, left=400 * MS)
+    scene.list("a0", state=DRAINING)
+    scene.take(scene.draw, left=200 * MS)
+    scene.pass_to(S)
+    scene.matches("in_time")
+
+
+def test_votes_refused_and_lapsed_are_cast_anew_once():
+    scene = on_trial()
+    scene.traffic(6 * S)
+    scene.stage(0, 0, 0.0, answer="full")
+    scene.pass_to(20 * S)
+    scene.matches("votes")
+
+
+def test_subscription_is_asked_for_until_it_stands():
+    scene = Scene(must_ask=True)
+    scene.pass_to(2 * S)
+    scene.agent.on_list("changes", [])
+    scene.pass_to(8 * S)
+    scene.agent.on_list("failed", [])
+    scene.pass_to(10 * S)
+    scene.matches("subscription")
+
+
+def test_silent_appliance_is_shut():
+    scene = Scene(dispatch_limit=1)
+    scene.list("a0", "a1")
+    scene.released()
+    scene.traffic(S, lambda dispatch: TIMEOUT if dispatch.appliance.ident == "a0" else "succeeded")
+    scene.lines = [line for line in scene.lines if "log" in line]
+    scene.matches("silent")
+
+
+def test_reports_are_pooled_by_message():
+    """Wrong answers are too rare for one agent's blocks."""
+    scene = on_trial(may_message=True, flag_share=0.5)
+    scene.traffic(3 * S)
+    for _ in range(8):
+        scene.agent.on_message(1, b"2 200 20 0 2")
+    scene.agent.on_message(1, b"\xff nonsense")
+    scene.pass_to(4 * S)
+    scene.lines = [line for line in scene.lines if "message" not in line]
+    scene.matches("reports")
