The bound on open dispatches settles where one answer in eight is slow

Cause: any slow answer cut the bound by 15%, though a tail of slow ones is normal; whole fleets stood half idle. Guards against any shortage of capacity, whatever its cause. Harm: an operation whose work alone takes over 0.7 of its SLO time would throttle the rest.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -210,7 +210,7 @@
         self.exposures: dict[Any, Exposure] = {}
         self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
         self.held: list[Invocation] = []
-        self.open, self.limit, self.cut_at = 0, 0.0, 0      # own dispatches out, their bound, when it was cut
+        self.open, self.limit = 0, 0.0              # own dispatches out and their bound
         self.recent, self.spare_retries = deque(maxlen=4000), 10.0      # when invocations were taken
         self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
         self.subscribed = self.votes = self.may_recast = False
@@ -297,9 +297,9 @@
             self.review()
         # the bound on own open dispatches follows how quickly answers come, as overload shows there first
         slow = how == TIMEOUT or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
-        if slow and now - self.cut_at > 300 * MS:
-            self.limit, self.cut_at = max(self.limit * 0.85, 0.5 * len(self.fleet), 4.0), now
-        elif not slow and self.open >= 0.7 * self.limit:
+        if slow:                            # settles where one answer in eight is slow
+            self.limit = max(self.limit - 14 / self.limit, 0.5 * len(self.fleet), 4.0)
+        elif self.open >= 0.7 * self.limit:
             self.limit += 2 / self.limit
         self.stir()
 
