--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -38,8 +38,8 @@
 class Judge:
     """One stream: the paper's mixture likelihood ratio on our own blocks, with Normal densities."""
 
-    def __init__(self, block: int, width: float) -> None:
-        self.block, self.width = block, width
+    def __init__(self, block: int, width: float, half: float = 0.5) -> None:
+        self.block, self.width, self.half = block, width, half      # half a failure, as this stream counts
         self.precision = self.weighted = 0.0                # A and S of the design page
         self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
         self.kept = (0, 0.0)                                # the earlier side of the last closed block
@@ -55,7 +55,7 @@
             return
         self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
-        floored = [(p * n + 0.5) / (n + 1) for p, n in zip(shares, self.counts)]
+        floored = [(p * n + self.half) / (n + 2 * self.half) for p, n in zip(shares, self.counts)]
         spread = sum(p * (1 - p) / n for p, n in zip(floored, self.counts))
         # blocks fade: guards against a build that turns bad late, or only once it bears the full load
         self.precision = self.precision * FADE + 1 / spread
@@ -116,7 +116,8 @@
         """Reported answers stand for those not reported too."""
         self.untold[trial] += count * own
         self.untold[2 + trial] += flags * own
-        self.add(None, FLAGS, trial, flags / self.known["flag_share"], count)
+        share = self.known["flag_share"]
+        self.add(None, (*FLAGS, 0.5 / share), trial, flags / share, count)
 
     def weigh(self, outcome: Outcome) -> None:
         """What is evidence in an outcome."""
@@ -307,8 +308,8 @@
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
         share = appliance.learned.bad_share() if appliance.learned.bad >= 3 else 0
         peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
-        bad, total = sum(p.bad for p in peers), sum(p.good + p.bad for p in peers) + 1
-        return share >= 0.4 and len(peers) > 0 and bad / total < share / 2
+        bad, good = sum(p.bad for p in peers), sum(p.good for p in peers)
+        return share >= 0.4 and len(peers) > 0 and bad / (bad + good + 1) < share / 2
 
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
@@ -341,7 +342,8 @@
         for times, oldest in ((sends, now - span), (self.recent, now - 4 * S)):
             while times and times[0] <= oldest:
                 times.popleft()
-        even = len(self.recent) / 4 * span / S / max(1, len(self.fleet))
+        places = sum(a.build < appliance.build for a in self.fleet) if not self.known["in_place"] else 0
+        even = len(self.recent) / 4 * span / S / max(1, places or len(self.fleet))
         return len(sends) < 1 + even * self.warmth(appliance) * min(1.3, self.known["fall_multiple"] / 2)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
@@ -361,9 +363,7 @@
         health, stage = appliance.learned, self.stage
         if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
             return False
-        if not self.may_repeat(inv, appliance) or not self.cold_room(appliance):
-            return False
-        cap = self.cap_of(appliance)
+        cap = self.cap_of(appliance) if self.may_repeat(inv, appliance) and self.cold_room(appliance) else 0.0
         if cap is None:
             return appliance.build >= self.bound_keys.get(inv.key, 0)
         number = stage.number if self.on_newest(appliance) else 0
@@ -377,8 +377,8 @@
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
-    def less_busy(self, fits: list[Appliance]) -> Appliance:
-        return min(self.chance.sample(fits, 2) if len(fits) > 2 else fits, key=self.busy)
+    def less_busy(self, fits: list[Appliance], of: int = 4) -> Appliance:
+        return min(self.chance.sample(fits, min(of, len(fits))), key=self.busy)
 
     def pick(self, inv: Invocation) -> Appliance | None:
         """The less busy of two random ones. Repeats go to the earlier build, unless the key must stay."""
@@ -389,7 +389,7 @@
             if inv.dispatches or self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK):
                 fits = earlier
             else:       # as much as the cap allows, so that it is judged at full load before its release
-                best, beside = self.less_busy(trial), not self.known["in_place"]
+                best, beside = self.less_busy(trial, 2), not self.known["in_place"]
                 usual = self.open / sum(a.weight for a in self.fleet if a.build < best.build or not beside)
                 fair = usual * best.weight * self.warmth(best) + (1.5 if beside else 0.5)
                 fits = [best] if best.learned.open < fair else earlier
