--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -30,7 +30,7 @@
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
-HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
+HOLD_ABOVE, HOLD_MOST = 1.3, 6 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
 
@@ -377,8 +377,8 @@
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
-    def less_busy(self, fits: list[Appliance], of: int = 4) -> Appliance:
-        return min(self.chance.sample(fits, min(of, len(fits))), key=self.busy)
+    def less_busy(self, fits: list[Appliance]) -> Appliance:
+        return min(self.chance.sample(fits, min(2, len(fits))), key=self.busy)
 
     def pick(self, inv: Invocation) -> Appliance | None:
         """The less busy of two random ones. Repeats go to the earlier build, unless the key must stay."""
@@ -389,7 +389,7 @@
             if inv.dispatches or self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK):
                 fits = earlier
             else:       # as much as the cap allows, so that it is judged at full load before its release
-                best, beside = self.less_busy(trial, 2), not self.known["in_place"]
+                best, beside = self.less_busy(trial), not self.known["in_place"]
                 usual = self.open / sum(a.weight for a in self.fleet if a.build < best.build or not beside)
                 fair = usual * best.weight * self.warmth(best) + (1.5 if beside else 0.5)
                 fits = [best] if best.learned.open < fair else earlier
