--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -30,7 +30,7 @@
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
-HOLD_ABOVE, HOLD_MOST = 1.3, 6 * S          # undecided evidence delays 'on', at most so long a stage
+HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
 
