--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -284,8 +284,8 @@
         appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open -= 1
         health.note(outcome, now)
-        key = dispatch.invocation.key if self.known["one_way"] and not self.alone() else None
-        if how == SUCCEEDED and key and appliance.build >= self.stage.build:
+        key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
+        if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
         if how not in (SUCCEEDED, CANCELLED, MOOT) and now >= health.shut_until and (
                 health.silences > 3 or self.stands_out(appliance)):
@@ -364,8 +364,9 @@
         if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
             return False
         cap = self.cap_of(appliance) if self.may_repeat(inv, appliance) and self.cold_room(appliance) else 0.0
-        if cap is None:
-            return appliance.build >= self.bound_keys.get(inv.key, 0)
+        if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
+            over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
+            return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
         number = stage.number if self.on_newest(appliance) else 0
         return self.exposure(inv.operation).room(self.host.now, cap) and (
             inv.operation.effect == IDEMPOTENT or number >= self.known["guarded_stages"])
@@ -393,8 +394,7 @@
                 usual = self.open / sum(a.weight for a in self.fleet if a.build < best.build or not beside)
                 fair = usual * best.weight * self.warmth(best) + (1.5 if beside else 0.5)
                 fits = [best] if best.learned.open < fair else earlier
-        tried = {id(d.appliance) for d in inv.dispatches}
-        fits = [a for a in fits if id(a) not in tried] or fits
+        fits = [a for a in fits if a not in [d.appliance for d in inv.dispatches]] or fits
         return self.less_busy(fits) if fits else None
 
     # ---- votes -------------------------------------------------------------------------------------------
@@ -407,7 +407,7 @@
         self.stage = stage
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold = {}, [0, 0, 0, 0]
-        kept = stage.build if stage.phase in (ON_TRIAL, RELEASED) else 1 << 32
+        kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
             self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}: "
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -97,6 +97,18 @@
     scene.matches("one_way_keys")
 
 
+def test_no_key_goes_to_an_earlier_machine_that_is_listed_after_the_release():
+    """Guards against a machine that vanished and comes back with the earlier build."""
+    scene = Scene(one_way=True)
+    scene.list("new0", build=2)
+    scene.stage(2, 2, 1.0, "released")
+    scene.take(scene.draw, key="k")
+    scene.list("late0")
+    for _ in range(3):
+        scene.take(scene.draw, key="k")
+    assert {d.appliance.ident for d in scene.out} == {"new0"}
+
+
 def test_guarded_stages_take_idempotent_ones_only():
     scene = Scene(guarded_stages=1, free=9.0)
     scene.list("old0")
