--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -24,7 +24,7 @@
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width: small blocks
-FLAGS, RARE = (80, 0.2), (60, 0.05)         # look for much at once, large ones for little
+FLAGS, RARE, POOLED = (80, 0.2), (60, 0.05), (30, 0.2)      # look for much at once, large ones for little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
@@ -64,7 +64,7 @@
 
     def log_ratio(self) -> float:
         """ln L; 0 while the new build looks no worse."""
-        if self.weighted <= 0 or (self.blocks < 2 and self.block == SLOW[0]):   # one jam fills one block
+        if self.weighted <= 0 or (self.blocks < 2 and self.block in (SLOW[0], POOLED[0])):   # a jam fills one
             return 0.0
         grown = 1 + self.width ** 2 * self.precision
         return self.width ** 2 * self.weighted ** 2 / (2 * grown) - log(grown) / 2
@@ -97,7 +97,7 @@
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
         self.times: dict[tuple, Times] = {}     # machines of one kind compare with their like
-        self.untold = [0, 0, 0, 0]              # answers and reports, of earlier builds and of the trial
+        self.untold = [0] * 8       # of earlier builds and the trial: answers, reports; timed, slow
 
     def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
@@ -112,12 +112,15 @@
         return (f"ln L {worst.log_ratio():.2f}, failures {worst.weighted / (worst.precision or 1):+.3f}, "
                 f"{worst.blocks} blocks of {worst.block}")
 
-    def flagged(self, trial: bool, flags: int, count: int, own: bool = True) -> None:
-        """Reported answers stand for those not reported too."""
-        self.untold[trial] += count * own
-        self.untold[2 + trial] += flags * own
-        share = self.known["flag_share"]
-        self.add(None, (*FLAGS, 0.5 / share), trial, flags / share, count)
+    def share(self, timed: bool, trial: bool, failures: int, count: int, own: bool = True) -> None:
+        """Streams that agents pool where they may message. Reported answers stand for those not reported."""
+        self.untold[4 * timed + trial] += count * own
+        self.untold[4 * timed + 2 + trial] += failures * own
+        if timed and self.known["may_message"]:
+            self.add(None, POOLED, trial, failures, count)
+        elif not timed and self.known["flag_share"] > 0:
+            unit = 1 / self.known["flag_share"]
+            self.add(None, (*FLAGS, 0.5 * unit), trial, failures * unit, count)
 
     def weigh(self, outcome: Outcome) -> None:
         """What is evidence in an outcome."""
@@ -139,10 +142,12 @@
         # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
         young = appliance.started and now - appliance.started < SKIP
         if not (young or dispatch.learned or self.agent.alone()) and now - health.sampled > APART:
-            self.add(operation, SLOW, trial, failed or how == TIMEOUT or outcome.took > too_long)
+            slow = failed or how == TIMEOUT or outcome.took > too_long
+            self.add(operation, SLOW, trial, slow)
+            self.share(True, trial, slow, 1)
             health.sampled = now
-        if how == SUCCEEDED and self.known["flag_share"] > 0:
-            self.flagged(trial, 0, 1)
+        if how == SUCCEEDED:
+            self.share(False, trial, 0, 1)
 
 
 # ---- exposure: dispatches at builds on trial ----------------------------------------------------------
@@ -251,20 +256,21 @@
             self.review()
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
-        if self.judging() and self.known["flag_share"] > 0:
-            self.jury.flagged(self.on_newest(appliance), 1, 0)
+        if self.judging():
+            self.jury.share(False, self.on_newest(appliance), 1, 0)
             self.review()
 
     def on_message(self, sender: int, body: bytes) -> None:
-        """Counts of reported answers from another agent: they are too rare for one agent's blocks."""
-        figures = [int(field) for field in body.split() if field.isdigit()]
-        if len(figures) == 5 and self.judging() and figures[0] == self.stage.build:
-            for trial in (False, True):
-                self.jury.flagged(trial, figures[3 + trial], figures[1 + trial], own=False)
+        """Counts from another agent, of what one agent alone sees too little."""
+        build, *figures = [int(field) for field in body.split() if field.isdigit()] or [0]
+        if len(figures) == 8 and self.judging() and build == self.stage.build:
+            for timed, trial in ((0, 0), (0, 1), (1, 0), (1, 1)):
+                at = 4 * timed + trial
+                self.jury.share(timed, trial, figures[at + 2], figures[at], own=False)
             self.review()
 
     def tell(self) -> None:
-        untold, self.jury.untold = self.jury.untold, [0, 0, 0, 0]
+        untold, self.jury.untold = self.jury.untold, [0] * 8
         if self.known["may_message"] and any(untold):
             self.host.message(None, " ".join(map(str, [self.stage.build, *untold])).encode())
 
@@ -406,7 +412,7 @@
             return
         self.stage = stage
         if old is None or stage.build != old.build:
-            self.jury.judges, self.jury.untold = {}, [0, 0, 0, 0]
+            self.jury.judges, self.jury.untold = {}, [0] * 8
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -217,7 +217,7 @@
     scene = on_trial(may_message=True, flag_share=0.5)
     scene.traffic(3 * S)
     for _ in range(8):
-        scene.agent.on_message(1, b"2 200 20 0 2")
+        scene.agent.on_message(1, b"2 200 20 0 2 0 0 0 0")
     scene.agent.on_message(1, b"\xff nonsense")
     scene.pass_to(4 * S)
     scene.lines = [line for line in scene.lines if "message" not in line]
