--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -119,8 +119,8 @@
         if timed and self.known["may_message"]:
             self.add(None, POOLED, trial, failures, count)
         elif not timed and self.known["flag_share"] > 0:
-            unit = 1 / self.known["flag_share"]
-            self.add(None, (*FLAGS, 0.5 * unit), trial, failures * unit, count)
+            part = self.known["flag_share"]
+            self.add(None, (*FLAGS, 0.5 / part), trial, failures / part, count)
 
     def weigh(self, outcome: Outcome) -> None:
         """What is evidence in an outcome."""
@@ -142,10 +142,9 @@
         # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
         young = appliance.started and now - appliance.started < SKIP
         if not (young or dispatch.learned or self.agent.alone()) and now - health.sampled > APART:
-            slow = failed or how == TIMEOUT or outcome.took > too_long
+            slow, health.sampled = failed or how == TIMEOUT or outcome.took > too_long, now
             self.add(operation, SLOW, trial, slow)
             self.share(True, trial, slow, 1)
-            health.sampled = now
         if how == SUCCEEDED:
             self.share(False, trial, 0, 1)
 
@@ -264,9 +263,8 @@
         """Counts from another agent, of what one agent alone sees too little."""
         build, *figures = [int(field) for field in body.split() if field.isdigit()] or [0]
         if len(figures) == 8 and self.judging() and build == self.stage.build:
-            for timed, trial in ((0, 0), (0, 1), (1, 0), (1, 1)):
-                at = 4 * timed + trial
-                self.jury.share(timed, trial, figures[at + 2], figures[at], own=False)
+            for at in (0, 1, 4, 5):
+                self.jury.share(at >= 4, at in (1, 5), figures[at + 2], figures[at], own=False)
             self.review()
 
     def tell(self) -> None:
@@ -390,8 +388,7 @@
     def pick(self, inv: Invocation) -> Appliance | None:
         """The less busy of two random ones. Repeats go to the earlier build, unless the key must stay."""
         fits = [a for a in self.fleet if self.may_go(inv, a)]
-        trial = [a for a in fits if self.cap_of(a) is not None]
-        earlier = [a for a in fits if self.cap_of(a) is None]
+        trial, earlier = ([a for a in fits if (self.cap_of(a) is None) == known] for known in (False, True))
         if trial and earlier:
             if inv.dispatches or self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK):
                 fits = earlier
@@ -533,21 +530,18 @@
     def send(self, inv: Invocation, place: Appliance, patience: int, until: int) -> Dispatch:
         """Books a dispatch that the gate has let through."""
         now, health = self.host.now, place.learned
-        self.open += 1
-        health.open += 1
-        health.load += 1
+        self.open, health.open, health.load = self.open + 1, health.open + 1, health.load + 1
         health.unanswered = health.unanswered or now
         if self.warmth(place) < 1.0:
             health.sends.append(now)
         if self.cap_of(place) is not None:
-            exposure = self.exposure(inv.operation)
-            exposure.sends.append([now, exposure.taken])
+            self.exposure(inv.operation).sends.append([now, self.exposure(inv.operation).taken])
         crowded = health.open > 1 + 1.5 * self.open / sum(a.weight for a in self.fleet) * place.weight
         return Dispatch(place, max(patience, MS), until, learned=crowded)
 
     def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
-        repeatable = (IDEMPOTENT, FINGERPRINTED) if inv.operation.group == "all" else (IDEMPOTENT,)
-        harmless = inv.operation.effect in repeatable or all(d.ended in NEVER_RAN for d in inv.dispatches)
+        everywhere = {IDEMPOTENT} | ({FINGERPRINTED} if inv.operation.group == "all" else set())
+        harmless = inv.operation.effect in everywhere or all(d.ended in NEVER_RAN for d in inv.dispatches)
         advice = min(self.known["max_advice"], S) if self.known["may_advise"] else 0
         return Throttle(advice) if harmless else Terminate()
