--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -452,8 +452,8 @@
         vote = (self.stage.build, self.stage.number, verdict)
         if self.vote not in (vote, (*vote[:2], BACK)):
             self.vote, self.may_recast = vote, True
-            due = self.host.now + self.some(2 * VOTE_SPREAD) - VOTE_SPREAD // 2
-            self.host.at(due, lambda: self.cast(vote))
+            wait = self.some(2 * VOTE_SPREAD if verdict != BACK else 100 * MS)
+            self.host.at(self.host.now + wait, lambda: self.cast(vote))
 
     def cast(self, vote: tuple) -> None:
         if vote == self.vote:
