--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -301,7 +301,7 @@
         if self.jury.worst().log_ratio() > log(1 / ALPHA):
             self.review()
         # the bound on own open dispatches follows how quickly answers come, as overload shows there first
-        slow = how == TIMEOUT or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
+        slow = how in (TIMEOUT, FULL) or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
         if slow:                            # settles where one answer in eight is slow
             self.limit = max(self.limit - 14 / self.limit, 1.5 * len(self.fleet), 4.0)
         elif self.open >= 0.7 * self.limit:
