--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,5 @@
 """Short printed traces of decisions; each is kept in traces/ and read by people."""
-from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT
+from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT, Tally
 from helpers import DRAINING, MS, S, Scene
 
 EARLIER, TRIAL = [f"old{n}" for n in range(8)], ["new0", "new1"]
@@ -222,3 +222,25 @@
     scene.pass_to(4 * S)
     scene.lines = [line for line in scene.lines if "message" not in line]
     scene.matches("reports")
+
+
+def test_hold_and_back_under_a_clock_by_tallies():
+    """Undecided evidence holds the stage, more of it sends the build back; 'on' is never voted there."""
+    scene = on_trial(control="timer")
+    for step in range(12):
+        scene.pass_to(scene.engine.now + S)
+        scene.agent.on_tally(Tally(1, scene.draw, 100, 2, 0, 0))
+        scene.agent.on_tally(Tally(2, scene.draw, 20, 4, 0, 0))
+    scene.matches("clock")
+
+
+def test_exposure_counts_by_operation():
+    scene = Scene(per_operation=True)
+    scene.list("old0")
+    scene.stage(2, 0, 0.1)
+    scene.list("new0", build=2)
+    scene.agent.limit = 100
+    for operation in (scene.draw, scene.order) * 3:
+        scene.take(operation)
+    sent = [d.invocation.operation.name for d in scene.out if d.appliance.build == 2]
+    assert sorted(sent) == ["draw", "order"]
