Read-through: nothing built to be thrown away on each outcome, one comparison of stages

Exposures are made at the start and judges and times when first needed, where each call built one to discard; an appliance's peers are looked at only when it may stand out; two ways to tell stages apart are one. One test follows a renamed attribute, its assertion is as it was.

--- a/cartweir/interface.py
+++ b/cartweir/interface.py
@@ -98,6 +98,11 @@
     age: int
     answer: str | None = None       # to a vote: ok, moot, full, error, timeout; None: unasked
 
+    @property
+    def word(self) -> tuple[int, int, str]:
+        """What a change of makes this another stage."""
+        return self.build, self.number, self.phase
+
 
 @dataclass(slots=True)
 class Tally:
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -9,7 +9,7 @@
 
 import random
 from bisect import bisect_left
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Mapping
 from itertools import accumulate
 from math import log
@@ -96,13 +96,14 @@
     def __init__(self, agent: Agent) -> None:
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
-        self.times: dict[tuple, Times] = {}     # machines of one kind compare with their like
+        self.times: dict[tuple, Times] = defaultdict(Times)     # machines of one kind compare with their like
         self.untold = [0] * 8       # of earlier builds and the trial: answers, reports; timed, slow
 
     def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
-        judge = self.judges.setdefault((operation, stream), Judge(*stream))
-        judge.add(trial, failures, count, self.agent.alone())
+        if (operation, stream) not in self.judges:
+            self.judges[operation, stream] = Judge(*stream)
+        self.judges[operation, stream].add(trial, failures, count, self.agent.alone())
 
     def worst(self) -> Judge:
         return max(self.judges.values(), key=Judge.log_ratio, default=Judge(*SLOW))
@@ -118,8 +119,7 @@
         self.untold[4 * timed + 2 + trial] += failures * own
         if timed and self.known["may_message"]:
             self.add(None, POOLED, trial, failures, count)
-        elif not timed and self.known["flag_share"] > 0:
-            part = self.known["flag_share"]
+        elif not timed and (part := self.known["flag_share"]) > 0:
             self.add(None, (*FLAGS, 0.5 / part), trial, failures / part, count)
 
     def weigh(self, outcome: Outcome) -> None:
@@ -127,7 +127,7 @@
         dispatch, how, now = outcome.dispatch, outcome.how, self.agent.host.now
         operation, appliance = dispatch.invocation.operation, dispatch.appliance
         health, trial = appliance.learned, self.agent.on_newest(appliance)
-        times = self.times.setdefault((operation, appliance.kind), Times())
+        times = self.times[operation, appliance.kind]
         too_long = times.too_long()
         if not trial and how == SUCCEEDED:
             times.add(outcome.took)
@@ -174,7 +174,6 @@
             count - i <= self.free + cap * (self.taken - send[1]) - 1e-9 for i, send in enumerate(self.sends))
 
 
-
 # ---- health: what is known of one appliance ------------------------------------------------------------
 class Health:
     def __init__(self) -> None:
@@ -212,7 +211,8 @@
         self.fleet: list[Appliance] = []            # ready ones
         self.stage: Stage | None = None
         self.jury = Jury(self)
-        self.exposures: dict[Any, Exposure] = {}
+        whole, apart = Exposure(known), known["per_operation"]
+        self.exposures = {operation: Exposure(known) if apart else whole for operation in known["operations"]}
         self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
         self.held: list[Invocation] = []
         self.open, self.limit = 0, 0.0              # own dispatches out and their bound
@@ -310,10 +310,12 @@
 
     def stands_out(self, appliance: Appliance) -> bool:
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
-        share = appliance.learned.bad_share() if appliance.learned.bad >= 3 else 0
+        health = appliance.learned
+        if health.bad < 3 or health.bad_share() < 0.4:
+            return False
         peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
         bad, good = sum(p.bad for p in peers), sum(p.good for p in peers)
-        return share >= 0.4 and len(peers) > 0 and bad / (bad + good + 1) < share / 2
+        return bool(peers) and bad / (bad + good + 1) < health.bad_share() / 2
 
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
@@ -327,10 +329,6 @@
             return None
         return stage.cap        # on the way back it falls to 0 only when earlier machines are there
 
-    def exposure(self, operation: Operation) -> Exposure:
-        key = operation if self.known["per_operation"] else None
-        return self.exposures.setdefault(key, Exposure(self.known))
-
     def warmth(self, appliance: Appliance) -> float:
         """The share of its capacity that a started appliance has at least."""
         age, warm_time = max(0, self.host.now - appliance.started), self.known["warm_time"]
@@ -372,7 +370,7 @@
             over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
         number = stage.number if self.on_newest(appliance) else 0
-        return self.exposure(inv.operation).room(self.host.now, cap) and (
+        return self.exposures[inv.operation].room(self.host.now, cap) and (
             inv.operation.effect == IDEMPOTENT or number >= self.known["guarded_stages"])
 
     def busy(self, appliance: Appliance) -> float:
@@ -412,7 +410,7 @@
             self.jury.judges, self.jury.untold = {}, [0] * 8
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
-        if old is None or (stage.build, stage.number, stage.phase) != (old.build, old.number, old.phase):
+        if old is None or stage.word != old.word:
             self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}, cap {stage.cap:.2f}: "
                           f"{self.jury.evidence()}")
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
@@ -424,7 +422,7 @@
 
     def tend(self, stage: Stage) -> None:
         """Looks again from time to time for as long as this word of the platform stands."""
-        if all(getattr(self.stage, name) == getattr(stage, name) for name in ("build", "number", "phase")):
+        if self.stage.word == stage.word:
             self.review()
             self.tell()
             self.host.at(self.host.now + 400 * MS, lambda: self.tend(stage))
@@ -477,13 +475,12 @@
         operation, known, host = inv.operation, self.known, self.host
         self.recent.append(host.now)
         self.spare_retries = min(20.0, self.spare_retries + 0.2)
-        self.exposure(operation).take(host.now)
+        self.exposures[operation].take(host.now)
         end = inv.expires - 2 * known["tick"]               # rule 1: the last moment for our answer
         useful = end if operation.late_value > 0 else min(end, inv.taken + operation.slo_time)
         while True:
             # 1. a place, or hold; overload is told by how long the oldest held one has waited
-            held_until = min(useful, host.now + operation.slo_time // 3)
-            place = None
+            held_until, place = min(useful, host.now + operation.slo_time // 3), None
             while not inv.concluded:
                 if self.open < self.limit:
                     place = self.pick(inv)
@@ -535,7 +532,8 @@
         if self.warmth(place) < 1.0:
             health.sends.append(now)
         if self.cap_of(place) is not None:
-            self.exposure(inv.operation).sends.append([now, self.exposure(inv.operation).taken])
+            exposure = self.exposures[inv.operation]
+            exposure.sends.append([now, exposure.taken])
         crowded = health.open > 1 + 1.5 * self.open / sum(a.weight for a in self.fleet) * place.weight
         return Dispatch(place, max(patience, MS), until, learned=crowded)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -58,7 +58,7 @@
     scene.traffic(9 * S)
     scene.pass_to(14 * S)
     scene.traffic(16 * S)
-    sends = [send[0] for send in scene.agent.exposure(scene.draw).sends]
+    sends = [send[0] for send in scene.agent.exposures[scene.draw].sends]
     taken = [n * 20 * MS + 14 * S for n in range(1, 101)]
     assert len(sends) > 5
     for first in sends:
