Cold machines by a credit earned per invocation; sides kept and draws first

Cause: each agent let one dispatch go to a cold machine whatever its part, so hundreds pushed it over. Now an invocation taken earns its even part of the cold machines, cut to what is warm and to what succeeds; sums of parts stay under the multiple at any number of agents. The bound on open dispatches is divided among the agents. The pick draws before it gates and scans only when draws fail. Also guards after restarts, as a newcomer starts with nothing earned. Harm: a trial of cold machines alone is filled more slowly.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -28,6 +28,7 @@
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
+COLD = 0.35                                 # of the multiple at which a cold one falls: its part at most
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
@@ -181,7 +182,6 @@
         self.good = self.bad = 0.0          # recent outcomes, halved now and then
         self.shut_until = self.strikes = self.sampled = 0
         self.silences = self.unanswered = 0     # since its last answer: silent ends, the first dispatch
-        self.sends: deque[int] = deque()    # while cold
         self.load, self.load_at = 0.0, 0    # as reported, with own dispatches since
 
     def note(self, outcome: Outcome, now: int) -> None:
@@ -216,7 +216,13 @@
         self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
         self.held: list[Invocation] = []
         self.open, self.limit = 0, 0.0              # own dispatches out and their bound
-        self.recent, self.spare_retries = deque(maxlen=4000), 10.0      # when invocations were taken
+        self.spare_retries = 10.0
+        self.trial: list[Appliance] = []            # of the fleet: builds on trial, the others, cold ones
+        self.earlier: list[Appliance] = []
+        self.cold: list[Appliance] = []
+        self.places = 1.0                           # weight of the machines that bear the usual traffic
+        self.credit = self.chance.random() - 1      # dispatches earned at cold ones
+        self.asked = self.answered = 0.0            # invocations taken, and succeeded; halved now and then
         self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
         self.subscribed = self.votes = self.may_recast = False
         self.stage_since = self.undecided_since = 0         # when the stage began; evidence first undecided
@@ -245,9 +251,18 @@
         self.fleet = [a for a in self.fleet if id(a) not in news] + [a for a in changed if a.state == READY]
         for appliance in changed:
             appliance.learned = appliance.learned or Health()
-        self.limit = max(self.limit, 2.0 * len(self.fleet))
+        self.limit = max(self.limit, 2.0 * len(self.fleet) / self.known["agents"], 2.0)
+        self.regroup()
         self.stir()
 
+    def regroup(self) -> None:
+        """The sides, and what is cold: kept, so that a dispatch costs the same however large the fleet is."""
+        self.trial, self.earlier, self.cold = [], [], [a for a in self.fleet if self.warmth(a) < 1.0]
+        for appliance in self.fleet:
+            (self.earlier if self.cap_of(appliance) is None else self.trial).append(appliance)
+        before = self.earlier if self.earlier and not self.known["in_place"] else self.fleet
+        self.places = sum(a.weight for a in before) or 1.0
+
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
         if self.judging() and tally.count:
@@ -273,7 +288,7 @@
             self.host.message(None, " ".join(map(str, [self.stage.build, *untold])).encode())
 
     def alone(self) -> bool:
-        return self.stage is None or not any(a.build < self.stage.build for a in self.fleet)
+        return self.stage is None or not any(a.build < self.stage.build for a in self.earlier)
 
     def on_newest(self, appliance: Appliance) -> bool:
         return self.stage is not None and appliance.build == self.stage.build
@@ -288,6 +303,7 @@
         appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open -= 1
         health.note(outcome, now)
+        self.answered += how == SUCCEEDED
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
         if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
@@ -303,7 +319,7 @@
         # the bound on own open dispatches follows how quickly answers come, as overload shows there first
         slow = how in (TIMEOUT, FULL) or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
         if slow:                            # settles where one answer in eight is slow
-            self.limit = max(self.limit - 14 / self.limit, 1.5 * len(self.fleet), 4.0)
+            self.limit = max(self.limit - 14 / self.limit, 1.5 * len(self.fleet) / self.known["agents"], 1.0)
         elif self.open >= 0.7 * self.limit:
             self.limit += 2 / self.limit
         self.stir()
@@ -335,18 +351,17 @@
         ramp = age / warm_time if appliance.started and age < warm_time else 1.0
         return ramp + (1 - ramp) * self.known["cold_share"]
 
-    def cold_room(self, appliance: Appliance) -> bool:
-        """Guards a cold appliance against the sum of all agents: each keeps to its own even part of the
-        traffic, cut to what is warm, so the sum stays near what a warm one bears."""
-        if self.warmth(appliance) >= 1.0:
-            return True
-        now, span, sends = self.host.now, self.known["fall_time"], appliance.learned.sends
-        for times, oldest in ((sends, now - span), (self.recent, now - 4 * S)):
-            while times and times[0] <= oldest:
-                times.popleft()
-        places = sum(a.build < appliance.build for a in self.fleet) if not self.known["in_place"] else 0
-        even = len(self.recent) / 4 * span / S / max(1, places or len(self.fleet))
-        return len(sends) < 1 + even * self.warmth(appliance) * min(1.3, self.known["fall_multiple"] / 2)
+    def warm_up(self) -> None:
+        """Guards cold appliances against the sum of all agents: each invocation taken earns this agent their
+        even part of it, cut to what is warm and to what succeeds; whole dispatches come of it in time."""
+        self.asked += 1
+        if self.asked > 40:
+            self.asked, self.answered = self.asked / 2, self.answered / 2
+        if self.cold:
+            self.cold = [a for a in self.cold if a.state == READY and self.warmth(a) < 1.0]
+            part = sum(a.weight * self.warmth(a) for a in self.cold) / self.places
+            served = min(1.0, (self.answered + 2) / (self.asked + 2))
+            self.credit = min(1.0, self.credit + part * served * self.known["fall_multiple"] * COLD)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -365,7 +380,9 @@
         health, stage = appliance.learned, self.stage
         if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
             return False
-        cap = self.cap_of(appliance) if self.may_repeat(inv, appliance) and self.cold_room(appliance) else 0.0
+        if self.credit < 0 and self.warmth(appliance) < 1.0:
+            return False
+        cap = self.cap_of(appliance) if self.may_repeat(inv, appliance) else 0.0
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
             over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
@@ -380,23 +397,34 @@
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
-    def less_busy(self, fits: list[Appliance]) -> Appliance:
-        return min(self.chance.sample(fits, min(2, len(fits))), key=self.busy)
+    def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> Appliance | None:
+        """The less busy of two random ones that fit; the whole side is looked at only when draws find none."""
+        def fits(appliance: Appliance) -> bool:
+            return appliance not in tried and self.may_go(inv, appliance)
+        found: list[Appliance] = []
+        for appliance in self.chance.sample(side, min(8, len(side))):
+            if fits(appliance):
+                found.append(appliance)
+            if len(found) == 2:
+                break
+        if not found and len(side) > 8 and (found := [a for a in side if fits(a)]):
+            found = self.chance.sample(found, min(2, len(found)))
+        return min(found, key=self.busy, default=None)
 
     def pick(self, inv: Invocation) -> Appliance | None:
-        """The less busy of two random ones. Repeats go to the earlier build, unless the key must stay."""
-        fits = [a for a in self.fleet if self.may_go(inv, a)]
-        trial, earlier = ([a for a in fits if (self.cap_of(a) is None) == known] for known in (False, True))
-        if trial and earlier:
-            if inv.dispatches or self.stage.phase != ON_TRIAL or (self.vote and self.vote[2] == BACK):
-                fits = earlier
-            else:       # as much as the cap allows, so that it is judged at full load before its release
-                best, beside = self.less_busy(trial), not self.known["in_place"]
-                usual = self.open / sum(a.weight for a in self.fleet if a.build < best.build or not beside)
-                fair = usual * best.weight * self.warmth(best) + (1.5 if beside else 0.5)
-                fits = [best] if best.learned.open < fair else earlier
-        fits = [a for a in fits if a not in [d.appliance for d in inv.dispatches]] or fits
-        return self.less_busy(fits) if fits else None
+        """The trial gets its machines' part, so that it is judged at full load before its release, from the
+        cold credit or by chance. Repeats go to the earlier build, unless the key must stay."""
+        tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
+        if self.trial and not tried and self.stage and self.stage.phase == ON_TRIAL and not (
+                self.vote and self.vote[2] == BACK):
+            part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
+            if self.chance.random() < part or (self.cold and self.credit >= 0):
+                sides.reverse()
+        for skip in (tried, []) if tried else ([],):
+            for side in sides:
+                if place := self.draw(inv, side, skip):
+                    return place
+        return None
 
     # ---- votes -------------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
@@ -406,6 +434,7 @@
                 self.recast(self.vote)
             return
         self.stage = stage
+        self.regroup()
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold = {}, [0] * 8
         kept = stage.build + (stage.phase != ON_TRIAL)
@@ -473,7 +502,7 @@
 
     def handle(self, inv: Invocation) -> Steps:
         operation, known, host = inv.operation, self.known, self.host
-        self.recent.append(host.now)
+        self.warm_up()
         self.spare_retries = min(20.0, self.spare_retries + 0.2)
         self.exposures[operation].take(host.now)
         end = inv.expires - 2 * known["tick"]               # rule 1: the last moment for our answer
@@ -530,7 +559,7 @@
         self.open, health.open, health.load = self.open + 1, health.open + 1, health.load + 1
         health.unanswered = health.unanswered or now
         if self.warmth(place) < 1.0:
-            health.sends.append(now)
+            self.credit -= 1
         if self.cap_of(place) is not None:
             exposure = self.exposures[inv.operation]
             exposure.sends.append([now, exposure.taken])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,14 +21,14 @@
 class Scene:
     """Plays the host's world; being the door too, it writes each action down."""
 
-    def __init__(self, **known) -> None:
+    def __init__(self, seed: int = 1, **known) -> None:
         self.lines: list[str] = []
         self.out: list[Dispatch] = []
         self.draw = Operation("draw", IDEMPOTENT, slo_time=S, time_limit=3 * S)
         self.order = Operation("order", FINGERPRINTED, "zone", 2 * S, slo_time=S, time_limit=3 * S)
         self.issue = Operation("issue", SIDE_EFFECTING, slo_time=S, time_limit=3 * S)
         self.engine = None
-        self.engine = Engine(0, 1, {**KNOWN, "operations": (self.draw, self.order, self.issue), **known}, self)
+        self.engine = Engine(0, seed, {**KNOWN, "operations": (self.draw, self.order, self.issue), **known}, self)
         self.agent, self.fleet, self.count = self.engine.agent, {}, 0
 
     # ---- the door ----
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -173,6 +173,21 @@
     assert [d.appliance.ident for d in scene.out].count("cold") in range(9, 41)
 
 
+def test_many_agents_together_leave_a_cold_one_standing():
+    """Guards against each of very many agents sending "only one" to the machine that has just started."""
+    sent = []
+    for seed in range(60):
+        scene = Scene(seed=seed, agents=60)
+        scene.list("a0", "a1", "a2", "a3", "a4", "a5")
+        scene.list("cold", started=1)
+        scene.released()
+        for _ in range(3):
+            scene.take(scene.draw)
+        sent += [d.appliance.ident for d in scene.out]
+    assert len(sent) > 100
+    assert 0 < sent.count("cold") < len(sent) / 7 / 2
+
+
 def test_answer_comes_in_time():
     scene = Scene()
     scene.list("a0")
