Probes before a dispatch where the pair has not been heard of for a second

Cause: with hundreds of agents own dispatches tell nothing of a machine's load, a standstill or a slow link, so picks were random. A pair of candidates is probed and the one that answers, or holds less, is taken; probes that go unanswered make probing rarer and shut nothing. Reports now spread as they count, so that one report no longer convicts.

--- a/cartweir/drill/adapter.py
+++ b/cartweir/drill/adapter.py
@@ -96,6 +96,10 @@
     return known
 
 
+def _load(row: dict[str, Any]) -> dict[str, float]:
+    return {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS}
+
+
 class Seat:
     """One instance's door: its ids, and its actions as lines."""
 
@@ -191,9 +195,8 @@
         shot = row.get("shot", 0)
         if inv is None or not 0 <= shot < len(inv.dispatches) or inv.dispatches[shot].ended:
             return
-        load = {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS}
         self.engine.outcome(Outcome(inv.dispatches[shot], OUTCOMES.get(row["verdict"], ours.ERROR),
-                                    row.get("rtt", 0), row.get("complete", False), load or None))
+                                    row.get("rtt", 0), row.get("complete", False), _load(row) or None))
         self._forget(inv)
 
     def expired(self, row: dict[str, Any]) -> None:
@@ -236,7 +239,9 @@
                     agent.on_flag(self.operations[row["service"]], appliance, row.get("lateness", 0))
             case "HEARD":
                 agent.on_message(row["who"], row.get("body", b""))
-            # SAMPLED calls for nothing: no probes are sent so far
+            case "SAMPLED":
+                if appliance is not None:
+                    agent.on_probe(appliance, row["verdict"] == 200, row.get("rtt", 0), _load(row) or None)
             case "UNDER_WAY":
                 inv = self.invocations.get(row["requestId"])
                 if inv is not None:
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -29,6 +29,7 @@
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
 AFTER = 10 * S                              # of a release, in which slowness is still the build's
+STALE = S                                   # after so long without an answer, a machine's load is not known
 COLD = 0.35                                 # of the multiple at which a cold one falls: its part at most
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
@@ -70,7 +71,7 @@
         earlier = min(self.counts[False], 5 * max(self.counts[True], 8))    # more would make v of rare failures 0
         count = earlier + self.counts[True]
         both = (shares[False] * earlier + shares[True] * self.counts[True] + self.half) / (count + 2 * self.half)
-        spread = both * (1 - both) * (1 / earlier + 1 / self.counts[True])
+        spread = both * (1 - both) * (1 / earlier + 1 / self.counts[True]) * 2 * self.half
         return 1 / spread, (shares[True] - shares[False]) / spread
 
     def log_ratio(self) -> float:
@@ -231,6 +232,8 @@
         self.shut_until = self.strikes = self.sampled = 0
         self.silences = self.unanswered = 0     # since its last answer: silent ends, the first dispatch
         self.load, self.load_at = 0.0, 0    # as reported, with own dispatches since
+        self.heard, self.probed = 0, 0      # when it last answered; when it was last probed
+        self.asking: list[Invocation] = []
 
     def note(self, outcome: Outcome, now: int) -> None:
         self.open -= 1
@@ -238,8 +241,8 @@
             self.unanswered = self.silences = 0
         elif outcome.how in (TIMEOUT, RESET, UNCONNECTED):
             self.silences += 2 if outcome.how == UNCONNECTED else 1
-        if outcome.load:
-            self.load, self.load_at = outcome.load.get("inflight", 0.0), now
+        if outcome.how == SUCCEEDED:
+            self.hear(now, outcome.load)
         if outcome.how == SUCCEEDED:
             self.good, self.strikes = self.good + 1, 0
         elif outcome.how not in (CANCELLED, MOOT):
@@ -247,6 +250,13 @@
         if self.good + self.bad >= 16:
             self.good, self.bad = self.good / 2, self.bad / 2
 
+    def hear(self, now: int, load: Mapping[str, float] | None, took: int = 0) -> None:
+        """An answer: its report of what the machine holds or how busy it is; without one, a probe's time."""
+        self.heard = now
+        if load or took:
+            load = load or {"inflight": took / (50 * MS)}
+            self.load, self.load_at = load.get("inflight", 3 * load.get("util", 0.0)), now
+
     def bad_share(self) -> float:
         return self.bad / (self.good + self.bad + 2)
 
@@ -270,6 +280,7 @@
         self.earlier: list[Appliance] = []
         self.cold: list[Appliance] = []
         self.places = 1.0                           # weight of the machines that bear the usual traffic
+        self.probes_answered = 1.0                  # share of the latest
         self.crawling = False                       # the latest answer was slow
         self.credit = self.chance.random() - 1      # dispatches earned at cold ones
         self.asked = self.answered = 0.0            # invocations taken, and succeeded; halved now and then
@@ -403,7 +414,7 @@
         if how == TIMEOUT and not self.crawling:
             slow = False                    # guards against lost answers being taken for overload
         elif how in (SUCCEEDED, FULL):
-            self.crawling = slow
+            self.crawling = how == FULL or outcome.took > 0.3 * dispatch.invocation.operation.slo_time
         if slow:                            # settles where one answer in eight is slow
             least = 1.5 * len(self.fleet) / self.known["agents"]
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least, 0.1)
@@ -482,12 +493,12 @@
     def busy(self, appliance: Appliance) -> float:
         health, now = appliance.learned, self.host.now
         load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
-        load += 2 * (0 < health.unanswered < now - 400 * MS)    # guards against appliances that stand still
+        load += 4 * (health.heard < health.probed) + 2 * (0 < health.unanswered < now - 400 * MS)    # guards against appliances that stand still
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
-    def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> Appliance | None:
-        """The less busy of two random ones that fit; the whole side is looked at only when draws find none."""
+    def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> list[Appliance]:
+        """Two random ones that fit; the whole side is looked at only when draws find none."""
         def fits(appliance: Appliance) -> bool:
             return appliance not in tried and self.may_go(inv, appliance)
         found: list[Appliance] = []
@@ -498,9 +509,9 @@
                 break
         if not found and len(side) > 8 and (found := [a for a in side if fits(a)]):
             found = self.chance.sample(found, min(2, len(found)))
-        return min(found, key=self.busy, default=None)
+        return found
 
-    def pick(self, inv: Invocation) -> Appliance | None:
+    def pick(self, inv: Invocation) -> list[Appliance]:
         """The trial gets its machines' part, so that it is judged at full load before its release, from the
         cold credit or by chance. Repeats go to the earlier build, unless the key must stay."""
         tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
@@ -512,9 +523,26 @@
             sides.reverse()
         for skip in (tried, []) if tried else ([],):
             for side in sides:
-                if place := self.draw(inv, side, skip):
-                    return place
-        return None
+                if found := self.draw(inv, side, skip):
+                    return found
+        return []
+
+    def on_probe(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
+        """An unanswered one is no reason to shut anything: it only makes probes rarer."""
+        health = appliance.learned
+        self.probes_answered += ((1.0 if answered else 0.0) - self.probes_answered) / 16
+        if answered:
+            health.hear(self.host.now, load, took)
+            for inv in health.asking:
+                self.host.wake(inv)
+            health.asking = []
+
+    def unsure(self, fits: list[Appliance]) -> list[Appliance]:
+        """Which of a pair to probe: guards against agents whose own dispatches are too few to tell of a load,
+        a standstill or a slow link."""
+        stale = [a for a in fits if self.host.now - a.learned.heard > STALE]
+        worth = self.known["may_probe"] and len(fits) == 2 and len(stale) > 0
+        return stale if worth and self.chance.random() < max(self.probes_answered, 0.05) else []
 
     # ---- votes -------------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
@@ -607,17 +635,35 @@
         part = self.chance.random()                         # chance stands for what is less than one dispatch
         while True:
             # 1. a place, or hold; overload is told by how long the oldest held one has waited
-            held_until, place = min(useful, host.now + operation.slo_time // 3), None
+            held_until, fits = min(useful, host.now + operation.slo_time // 3), []
             while not inv.concluded:
                 if self.open + part < self.limit:
-                    place = self.pick(inv)
-                if place is not None or host.now >= held_until:
+                    fits = self.pick(inv)
+                if fits or host.now >= held_until:
                     break
                 self.held.append(inv)
                 yield Wait(min(held_until, host.now + 50 * MS))
                 self.held.remove(inv)
-            if place is None or inv.concluded:
+            if not fits or inv.concluded:
+                break
+            asked, wait = self.unsure(fits), min(useful, host.now + operation.slo_time // 15)
+            since = host.now
+            for appliance in asked:
+                appliance.learned.asking.append(inv)
+                appliance.learned.probed = host.now
+                host.probe(appliance)
+            while asked and host.now < wait and not inv.concluded:
+                yield Wait(wait)
+                if any(a.learned.heard > since or a.learned.heard == host.now for a in asked):
+                    wait = min(wait, host.now + 2 * known["tick"])
+                if all(a.learned.heard >= since for a in asked):
+                    break
+            fits = [a for a in fits if self.may_go(inv, a)] if asked else fits
+            if inv.concluded:
                 break
+            if not fits:
+                continue
+            place = min(fits, key=self.busy)
             # 2. dispatch; a second copy where one is allowed and little waits
             patience, second_at = end - host.now, end
             if operation.effect != SIDE_EFFECTING:
@@ -632,7 +678,7 @@
                 if host.now < second_at or inv.streaming:
                     yield Wait(second_at if host.now < second_at else None)
                     continue
-                second_at, place = end, self.pick(inv)
+                second_at, place = end, min(self.pick(inv), key=self.busy, default=None)
                 if place and place not in [d.appliance for d in inv.dispatches] and self.may_retry(inv, 4.0):
                     yield self.send(inv, place, end - host.now, end)
             # 3. again, if there is use in it
