Few agents watch a trial where the free number alone would spread the evidence thin

Cause: each of very many agents saw one or two outcomes of a trial, so no one held evidence. An agent is a watcher of a build by one draw, as many as the machines' part needs, and sends all it may; the others none. 'On' counts only once all machines of the stage are listed (shares rounded up).

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -280,8 +280,10 @@
         self.earlier: list[Appliance] = []
         self.cold: list[Appliance] = []
         self.places = 1.0                           # weight of the machines that bear the usual traffic
+        self.watch, self.pace = self.chance.random(), 0.0       # my place among watchers; taken in a window
         self.probes_answered = 1.0                  # share of the latest
         self.crawling = False                       # the latest answer was slow
+        self.taken = 0                              # since last looked
         self.credit = self.chance.random() - 1      # dispatches earned at cold ones
         self.asked = self.answered = 0.0            # invocations taken, and succeeded; halved now and then
         self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
@@ -452,7 +454,7 @@
     def warm_up(self) -> None:
         """Guards cold appliances against the sum of all agents: each invocation taken earns this agent their
         even part of it, cut to what is warm and to what succeeds; whole dispatches come of it in time."""
-        self.asked += 1
+        self.asked, self.taken = self.asked + 1, self.taken + 1
         if self.asked > 40:
             self.asked, self.answered = self.asked / 2, self.answered / 2
         if self.cold:
@@ -511,6 +513,13 @@
             found = self.chance.sample(found, min(2, len(found)))
         return found
 
+    def watches(self) -> bool:
+        """Where the free number alone lets agents send far more than their part, few send all they may and the
+        others none: guards against evidence spread so thin that nobody holds any."""
+        part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
+        share = part / min(1.0, max(self.stage.cap, 0.01) + self.known["free"] / max(self.pace, 0.5))
+        return self.watch < share if share < 0.5 else self.chance.random() < part
+
     def pick(self, inv: Invocation) -> list[Appliance]:
         """The trial gets its machines' part, so that it is judged at full load before its release, from the
         cold credit or by chance. Repeats go to the earlier build, unless the key must stay."""
@@ -518,8 +527,7 @@
         fair = self.stage and self.stage.phase == ON_TRIAL and not (self.vote and self.vote[2] == BACK)
         if not tried and self.cold and self.credit >= 0:
             sides.insert(0, [a for a in self.cold if fair or self.cap_of(a) is None])
-        elif not tried and fair and self.chance.random() * self.places < sum(
-                a.weight for a in self.trial if self.warmth(a) >= 1.0):
+        elif not tried and fair and self.trial and self.watches():
             sides.reverse()
         for skip in (tried, []) if tried else ([],):
             for side in sides:
@@ -555,7 +563,7 @@
         self.regroup()
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold, self.relay = {}, [0] * 12, [0] * 12
-            self.jury.failing = set()
+            self.jury.failing, self.watch = set(), self.chance.random()
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or stage.word != old.word:
@@ -575,7 +583,9 @@
         if self.stage.word == stage.word:
             self.review()
             self.tell()
-            due = self.host.now + (400 if self.known["agents"] <= 8 else 800) * MS
+            self.pace += (self.taken * self.known["window"] / (800 * MS) - self.pace) / 8
+            self.taken = 0
+            due = self.host.now + 800 * MS
             self.host.at(due, lambda: self.tend(stage, due))
 
     def review(self) -> None:
@@ -588,7 +598,7 @@
             starts = [a.started for a in self.trial if a.build == stage.build]
             due = self.known["shares"][stage.number] * len(self.fleet if self.known["in_place"] else self.earlier)
             newest = max(starts, default=0)
-            if newest < self.stage_since or len(starts) < int(due):     # this stage's machines are not listed yet
+            if newest < self.stage_since or len(starts) < due - 1e-6:     # this stage's machines are not listed yet
                 newest = self.stage_since + 8 * S
             undecided = worst.log_ratio() > log(HOLD_ABOVE)
             self.undecided_since = self.undecided_since or (now if undecided else 0)
