Slow evidence: two machines, in a row counts once, earlier side of late only

Causes: the earlier side of a slowly filling block reached back before a jam; one silent trial machine convicted its build; no level falls as fast as the number of agents without missing builds that fail under load. Harm: two truly bad machines in a row count once.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -56,6 +56,8 @@
         self.failures[trial] += failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
+        if self.counts[False] > 5 * max(self.counts[True], 8):      # of late only: guards against jams, and v of 0
+            self.counts[False], self.failures[False] = self.counts[False] / 2, self.failures[False] / 2
         if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
             return
         precision, weighted = self.gain()
@@ -68,10 +70,8 @@
         """1/v and d/v of the open block; v takes the share that both sides would have if nothing differed."""
         shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
         shares[False] = max(shares[False], self.least)
-        earlier = min(self.counts[False], 5 * max(self.counts[True], 8))    # more would make v of rare failures 0
-        count = earlier + self.counts[True]
-        both = (shares[False] * earlier + shares[True] * self.counts[True] + self.half) / (count + 2 * self.half)
-        spread = both * (1 - both) * (1 / earlier + 1 / self.counts[True]) * 2 * self.half
+        both = (sum(s * n for s, n in zip(shares, self.counts)) + self.half) / (sum(self.counts) + 2 * self.half)
+        spread = both * (1 - both) * (1 / self.counts[False] + 1 / self.counts[True]) * (2 * self.half) ** 0.5
         return 1 / spread, (shares[True] - shares[False]) / spread
 
     def log_ratio(self) -> float:
@@ -119,10 +119,10 @@
         self.times: dict[tuple, Times] = defaultdict(Times)     # machines of one kind compare with their like
         # of earlier builds and the trial: answers, reports; timed, slow; told from errors, errors
         self.untold = [0] * 12
-        self.failing: set[Appliance] = set()        # of the trial
+        self.failing: tuple = (None, 0)             # of the trial, the last to fail or to be slow, and when
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
         # guards against one of very many being wrong: so small that fewer than are needed err together
-        self.level = min(ALPHA, max(ALPHA * needed, needed - 2 * needed ** 0.5) / agents)
+        self.level = min(ALPHA, max(ALPHA * needed, needed - 2 * needed ** 0.5) / agents ** 0.5)
 
     def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
@@ -137,7 +137,8 @@
     def evidence(self) -> str:
         worst = self.worst()
         return (f"ln L {worst.log_ratio():.2f}, failures {worst.weighted / (worst.precision or 1):+.3f}, "
-                f"{worst.blocks} blocks of {worst.block}")
+                f"{worst.blocks} blocks of {worst.block}, open: " + " against ".join(
+                    f"{failed:.0f} of {n:.0f}" for failed, n in zip(worst.failures[::-1], worst.counts[::-1])))
 
     def share(self, kind: int, trial: bool, failures: int, count: int, own: bool = True) -> None:
         """Streams that agents pool where they may message. Reported answers stand for those not reported."""
@@ -178,10 +179,9 @@
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool, silent: bool = False) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
         trial, health = self.agent.on_newest(appliance), appliance.learned
-        if failed and trial:                # guards against a failing machine being taken for a failing build
-            known = appliance in self.failing
-            self.failing.add(appliance)
-            if known and len(self.failing) == 1 and len(self.agent.trial) > 1:
+        if trial and (failed or slow) and len(self.agent.trial) > 1:
+            last, self.failing = self.failing, (appliance, now)     # guards against a failing machine being
+            if appliance is last[0] and now - last[1] < 3 * S:      # taken for a failing build
                 return
         if failed and self.agent.stands_out(appliance):
             return
@@ -191,7 +191,8 @@
             self.share(2, trial, failed, 1)
         # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
         young = appliance.started and now - appliance.started < SKIP
-        if not (young or dispatch.learned or self.agent.stalled == now) and now - health.sampled > APART and (
+        single = trial and len(self.agent.trial) == 1      # the machine or the build: not to be told
+        if not (young or single or dispatch.learned or self.agent.stalled == now) and now - health.sampled > APART and (
                 not self.agent.alone() or now - self.agent.stage_since < AFTER):
             health.sampled = now
             self.add(operation, SLOW, trial, slow)
@@ -563,7 +564,7 @@
         self.regroup()
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold, self.relay = {}, [0] * 12, [0] * 12
-            self.jury.failing, self.watch = set(), self.chance.random()
+            self.jury.failing, self.watch = (None, 0), self.chance.random()
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or stage.word != old.word:
