Held for a sixth of the SLO time; slow by patience too

Cause: in overload a held invocation was served too late, and timed-out first dispatches never counted as slow where patience is short.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -413,7 +413,8 @@
         if self.jury.worst().margin() > 0:
             self.review()
         # the bound on own open dispatches follows how quickly answers come, as overload shows there first
-        slow = how in (TIMEOUT, FULL) or outcome.took > 0.7 * dispatch.invocation.operation.slo_time
+        slow = how in (TIMEOUT, FULL) or outcome.took > 0.7 * min(
+            dispatch.patience, dispatch.invocation.operation.slo_time)
         if how == TIMEOUT and not self.crawling:
             slow = False                    # guards against lost answers being taken for overload
         elif how in (SUCCEEDED, FULL):
@@ -646,7 +647,7 @@
         part = self.chance.random()                         # chance stands for what is less than one dispatch
         while True:
             # 1. a place, or hold; overload is told by how long the oldest held one has waited
-            held_until, fits = min(useful, host.now + operation.slo_time // 3), []
+            held_until, fits = min(useful, host.now + operation.slo_time // 6), []
             while not inv.concluded:
                 if self.open + part < self.limit:
                     fits = self.pick(inv)
