Watchers only where they are many; machines silent to their latest probe seldom drawn

Causes: on small sites no agent may have drawn the watcher's lot, so a wrong build was seen by none; a silent hall took a third of the dispatches until each agent had learned of each machine. Harm: a machine whose probes are lost while others answer gets little traffic for a while.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -465,7 +465,7 @@
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
             if self.credit >= 0:            # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
-            self.credit += part * served * min(1.0, self.known["fall_multiple"] * COLD)
+            self.credit += part * served * min(1.0 if self.known["in_place"] else 1.4, self.known["fall_multiple"] * COLD)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -504,7 +504,10 @@
     def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> list[Appliance]:
         """Two random ones that fit; the whole side is looked at only when draws find none."""
         def fits(appliance: Appliance) -> bool:
-            return appliance not in tried and self.may_go(inv, appliance)
+            health = appliance.learned      # silent to the latest probe while most are answered: seldom tried
+            mute = health.heard < health.probed < self.host.now - 100 * MS and (
+                self.chance.random() < min(0.9, self.probes_answered))
+            return appliance not in tried and not mute and self.may_go(inv, appliance)
         found: list[Appliance] = []
         for appliance in self.chance.sample(side, min(8, len(side))):
             if fits(appliance):
@@ -520,7 +523,8 @@
         others none: guards against evidence spread so thin that nobody holds any."""
         part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
         share = part / min(1.0, max(self.stage.cap, 0.01) + self.known["free"] / max(self.pace, 0.5))
-        return self.watch < share if share < 0.5 else self.chance.random() < part
+        few = share < 0.5 and share * self.known["agents"] >= 8
+        return self.watch < share if few else self.chance.random() < part
 
     def pick(self, inv: Invocation) -> list[Appliance]:
         """The trial gets its machines' part, so that it is judged at full load before its release, from the
@@ -695,7 +699,7 @@
                     yield self.send(inv, place, end - host.now, end)
             # 3. again, if there is use in it
             if inv.concluded or host.now >= useful - 20 * MS or not self.may_retry(
-                    inv, 0.25 if inv.dispatches[-1].ended == ERROR else 1.0) or [
+                    inv, 0.25 if inv.dispatches[-1].ended in (ERROR, UNCONNECTED) else 1.0) or [
                     d.ended for d in inv.dispatches].count(ERROR) > 1 or not any(
                     self.may_repeat(inv, a) for a in self.fleet):
                 break
