--- a/cartweir/engine.py
+++ b/cartweir/engine.py
@@ -24,14 +24,14 @@
     def subscribe(self) -> None: ...
     def fetch_list(self) -> None: ...
     def probe(self, appliance: Appliance) -> None: ...
-    def message(self, to: int | None, body: bytes) -> None: ...
+    def message(self, to: int | None, figures: list[int]) -> None: ...
 
 
 class Engine:
     """One instance. The door's actions of the same names are offered to the decisions as they are."""
 
     def __init__(self, now: int, seed: int, known: Mapping[str, Any], door: Door) -> None:
-        self.now = now
+        self.now, self.lag = now, 0
         self.door = door
         self.log, self.vote, self.subscribe = door.log, door.vote, door.subscribe
         self.fetch_list, self.probe, self.message = door.fetch_list, door.probe, door.message
@@ -47,8 +47,11 @@
         heapq.heappush(self._timers, (due, self._order, do))
         self._arm()
 
-    def behind(self) -> int:
-        return max(0, self.now - self._timers[0][0]) if self._timers else 0
+    def enter(self, now: int) -> None:
+        """The clock moves on: a timer that is overdue by then tells of a stall."""
+        if now != self.now:
+            self.lag = max(0, now - self._timers[0][0]) if self._timers else 0
+            self.now = now
 
     def _arm(self) -> None:
         if self._timers and (self._next_alarm is None or self._timers[0][0] < self._next_alarm):
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -1,36 +1,36 @@
-"""All decisions of one cartweir instance; types in and out are in interface.py, the host is engine.py.
+"""All decisions of one cartweir instance. Types in and out: interface.py; its memory: state.py.
 
-The host makes one Agent(host, known, chance) an instance: `known` is the plain map of settings, `chance` its
-only random source. It calls on_list, on_stage, on_tally, on_flag, on_message as news comes, observe() for
-every outcome, and runs handle() for each invocation taken: a generator that yields what it wants done.
-Sections: judge, exposure, health, pick, votes, invocation. Times are whole microseconds.
+The host (engine.py) makes one Agent(host, known, chance): `known` is the plain map of settings. It calls on_list,
+on_stage, on_tally, on_flag, on_message, on_probe as news comes, observe() for every outcome, and runs handle() for
+each invocation taken: a generator that yields what it wants done. Times are whole microseconds.
 """
 from __future__ import annotations
 
 import random
-from bisect import bisect_left
 from collections import defaultdict, deque
 from collections.abc import Mapping
-from itertools import accumulate
+from functools import partial
 from math import log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
-                        ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
-                        Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps,
-                        Tally, Terminate, Throttle, Wait)
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON, ON_TRIAL,
+                        READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Cancel,
+                        Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps, Tally, Terminate, Throttle, Wait)
+from .state import Histogram, Memory, Notes
 
 MS, S = 1_000, 1_000_000
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width: small blocks
-FLAGS, RARE, POOLED = (80, 0.05), (120, 0.05), ((30, 0.2), (30, 0.1))     # look for much at once, large ones for little
+FLAGS, RARE = (80, 0.05), (120, 0.05)       # large blocks and narrow priors look for little
+POOLED = ((30, 0.2), (30, 0.1))             # slowness and errors of all agents
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
+LOOK, STALL = 800 * MS, 150 * MS            # between looks at the evidence; an own stall
 AFTER = 10 * S                              # of a release, in which slowness is still the build's
 STALE = S                                   # after so long without an answer, a machine's load is not known
-COLD = 0.35                                 # of the multiple at which a cold one falls: its part at most
+COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
@@ -90,33 +90,13 @@
         return self.log_ratio() + log(self.level)
 
 
-class Times:
-    """How long one operation's answers took at earlier builds: a coarse histogram, halved now and then."""
-
-    def __init__(self) -> None:
-        self.bins, self.total = [0.0] * (len(EDGES) + 1), 0.0
-
-    def add(self, took: int) -> None:
-        self.bins[bisect_left(EDGES, took)] += 1
-        self.total += 1
-        if self.total >= 400:
-            self.bins, self.total = [n / 2 for n in self.bins], self.total / 2
-
-    def too_long(self) -> float:
-        """Well beyond the bin that holds nine tenths; without end on too few answers."""
-        if self.total < 15:
-            return float("inf")
-        place = next(i for i, below in enumerate(accumulate(self.bins)) if below >= 0.9 * self.total)
-        return SLOW_BY * EDGES[min(place, len(EDGES) - 1)]
-
-
 class Jury:
     """All streams on the newest build; the one with the most to say decides."""
 
     def __init__(self, agent: Agent) -> None:
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
-        self.times: dict[tuple, Times] = defaultdict(Times)     # machines of one kind compare with their like
+        self.times: dict[tuple, Histogram] = defaultdict(partial(Histogram, EDGES, 400))
         # of earlier builds and the trial: answers, reports; timed, slow; told from errors, errors
         self.untold = [0] * 12
         self.failing: tuple = (None, 0)             # of the trial, the last to fail or to be slow, and when
@@ -136,9 +116,8 @@
 
     def evidence(self) -> str:
         worst = self.worst()
-        return (f"ln L {worst.log_ratio():.2f}, failures {worst.weighted / (worst.precision or 1):+.3f}, "
-                f"{worst.blocks} blocks of {worst.block}, open: " + " against ".join(
-                    f"{failed:.0f} of {n:.0f}" for failed, n in zip(worst.failures[::-1], worst.counts[::-1])))
+        return (f"ln L {worst.log_ratio():.2f}, {worst.blocks} blocks of {worst.block}, open: {worst.failures[1]:.0f} of "
+                f"{worst.counts[1]:.0f} against {worst.failures[0]:.0f} of {worst.counts[0]:.0f}")
 
     def share(self, kind: int, trial: bool, failures: int, count: int, own: bool = True) -> None:
         """Streams that agents pool where they may message. Reported answers stand for those not reported."""
@@ -158,9 +137,11 @@
         operation, appliance = dispatch.invocation.operation, dispatch.appliance
         trial = self.agent.on_newest(appliance)
         times, common = self.times[operation, appliance.kind], self.times[None, None]
-        # too few of one operation and kind: by the parts of their SLO times that all take
-        too_long = min(times.too_long(), operation.slo_time * common.too_long() / S) if times.total < 15 else (
-            times.too_long())
+        too_long = float("inf")     # well beyond the bin of nine tenths; of all, by parts of SLO times, where few
+        if times.total >= 15:
+            too_long = SLOW_BY * times.edge(0.9)
+        elif common.total >= 15:
+            too_long = SLOW_BY * common.edge(0.9) * operation.slo_time / S
         if not trial and how == SUCCEEDED:
             times.add(outcome.took)
             common.add(outcome.took * S // operation.slo_time)
@@ -192,8 +173,9 @@
         # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
         young = appliance.started and now - appliance.started < SKIP
         single = trial and len(self.agent.trial) == 1      # the machine or the build: not to be told
-        if not (young or single or dispatch.learned or self.agent.stalled == now) and now - health.sampled > APART and (
-                not self.agent.alone() or now - self.agent.stage_since < AFTER):
+        spoilt = young or single or dispatch.learned or self.agent.host.lag > STALL     # an own stall
+        late = self.agent.alone() and now - self.agent.stage_since > AFTER
+        if not (spoilt or late) and now - health.sampled > APART:
             health.sampled = now
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
@@ -225,71 +207,14 @@
             count - i <= self.free + cap * (self.taken - send[1]) - 1e-9 for i, send in enumerate(self.sends))
 
 
-# ---- health: what is known of one appliance ------------------------------------------------------------
-class Health:
-    def __init__(self) -> None:
-        self.open = 0                       # own dispatches out
-        self.good = self.bad = 0.0          # recent outcomes, halved now and then
-        self.shut_until = self.strikes = self.sampled = 0
-        self.silences = self.unanswered = 0     # since its last answer: silent ends, the first dispatch
-        self.load, self.load_at = 0.0, 0    # as reported, with own dispatches since
-        self.heard, self.probed = 0, 0      # when it last answered; when it was last probed
-        self.asking: list[Invocation] = []
-
-    def note(self, outcome: Outcome, now: int) -> None:
-        self.open -= 1
-        if outcome.how in (SUCCEEDED, ERROR, FULL):
-            self.unanswered = self.silences = 0
-        elif outcome.how in (TIMEOUT, RESET, UNCONNECTED):
-            self.silences += 2 if outcome.how == UNCONNECTED else 1
-        if outcome.how == SUCCEEDED:
-            self.hear(now, outcome.load)
-        if outcome.how == SUCCEEDED:
-            self.good, self.strikes = self.good + 1, 0
-        elif outcome.how not in (CANCELLED, MOOT):
-            self.bad += 1
-        if self.good + self.bad >= 16:
-            self.good, self.bad = self.good / 2, self.bad / 2
-
-    def hear(self, now: int, load: Mapping[str, float] | None, took: int = 0) -> None:
-        """An answer: its report of what the machine holds or how busy it is; without one, a probe's time."""
-        self.heard = now
-        if load or took:
-            load = load or {"inflight": took / (50 * MS)}
-            self.load, self.load_at = load.get("inflight", 3 * load.get("util", 0.0)), now
-
-    def bad_share(self) -> float:
-        return self.bad / (self.good + self.bad + 2)
-
-
-class Agent:
+class Agent(Memory):
     """One instance: the news, the pick, the votes and the invocations."""
 
     def __init__(self, host: Host, known: Mapping[str, Any], chance: random.Random) -> None:
-        self.host, self.known, self.chance = host, known, chance
-        self.fleet: list[Appliance] = []            # ready ones
-        self.relay, self.stalled = [0] * 12, 0      # counts of others to be told; when last found stalled
-        self.stage: Stage | None = None
-        self.jury = Jury(self)
+        super().__init__(host, known, chance, spare_retries=10.0, watch=chance.random(), credit=chance.random() - 1)
+        self.jury, self.relay = Jury(self), [0] * 12
         whole, apart = Exposure(known), known["per_operation"]
         self.exposures = {operation: Exposure(known) if apart else whole for operation in known["operations"]}
-        self.bound_keys: dict[str, int] = {}        # one-way keys -> the newest build that has answered them
-        self.held: list[Invocation] = []
-        self.open, self.limit = 0, 0.0              # own dispatches out and their bound
-        self.spare_retries = 10.0
-        self.trial: list[Appliance] = []            # of the fleet: builds on trial, the others, cold ones
-        self.earlier: list[Appliance] = []
-        self.cold: list[Appliance] = []
-        self.places = 1.0                           # weight of the machines that bear the usual traffic
-        self.watch, self.pace = self.chance.random(), 0.0       # my place among watchers; taken in a window
-        self.probes_answered = 1.0                  # share of the latest
-        self.crawling = False                       # the latest answer was slow
-        self.taken = 0                              # since last looked
-        self.credit = self.chance.random() - 1      # dispatches earned at cold ones
-        self.asked = self.answered = 0.0            # invocations taken, and succeeded; halved now and then
-        self.vote: tuple | None = None              # build, stage, verdict: standing or about to be cast
-        self.subscribed = self.votes = self.may_recast = False
-        self.stage_since = self.undecided_since = 0         # when the stage began; evidence first undecided
         if known["must_ask"]:
             host.subscribe()
             host.at(host.now + self.some(S), self.keep_asking)
@@ -314,7 +239,7 @@
         news = {id(appliance) for appliance in changed}
         self.fleet = [a for a in self.fleet if id(a) not in news] + [a for a in changed if a.state == READY]
         for appliance in changed:
-            appliance.learned = appliance.learned or Health()
+            appliance.learned = appliance.learned or Notes()
         self.limit = max(self.limit, 2.0 * len(self.fleet) / self.known["agents"], 2.0)
         self.regroup()
         self.stir()
@@ -344,9 +269,8 @@
         agents = self.known["agents"]
         return None if agents <= 8 else (self.stage.build * 31 + self.host.now // (2 * S)) % agents
 
-    def on_message(self, sender: int, body: bytes) -> None:
-        """Counts from another agent, of what one agent alone sees too little; a sum is marked by a 0 in front."""
-        figures = [int(field) for field in body.split() if field.isdigit()]
+    def on_message(self, sender: int, figures: list[int]) -> None:
+        """Counts from another agent, of what one agent alone sees too little; a sum has a 0 in front."""
         if len(figures) in (13, 14) and self.judging() and figures[-13] == self.stage.build:
             if len(figures) == 13 and self.hub() is not None:
                 self.relay = [old + new for old, new in zip(self.relay, figures[1:])]
@@ -354,31 +278,28 @@
                 self.pool(figures[-12:])
 
     def pool(self, figures: list[int]) -> None:
-        for kind in range(3):
-            for trial in (0, 1):
-                count, failures = figures[4 * kind + trial], figures[4 * kind + 2 + trial]
-                if count or failures:
-                    self.jury.share(kind, bool(trial), failures, count, own=False)
+        for at in (0, 1, 4, 5, 8, 9):
+            if figures[at] or figures[at + 2]:
+                self.jury.share(at // 4, bool(at % 4), figures[at + 2], figures[at], own=False)
         self.review()
 
     def tell(self) -> None:
-        """Own counts go to all, or to the hub, whose sum goes to all: the number of messages grows evenly."""
-        untold, judging = self.jury.untold, self.judging()
-        if not self.known["may_message"] or not judging:
+        """Own counts go to all, or to the hub, whose sum goes to all: messages grow evenly with the agents."""
+        untold = self.jury.untold
+        if not self.known["may_message"] or not self.judging():
             return
-        hub, me = self.hub(), self.known["me"]
-        news = any(untold[1::4]) or any(untold[3::4])
+        hub, news = self.hub(), any(untold[1::4] + untold[3::4])
         if hub is None and any(untold):
-            self.host.message(None, " ".join(map(str, [self.stage.build, *untold])).encode())
-        elif hub == me:
+            self.host.message(None, [self.stage.build, *untold])
+        elif hub == self.known["me"]:
             self.relay = [old + new for old, new in zip(self.relay, untold)]
         elif hub is not None and news:
-            self.host.message(hub, " ".join(map(str, [self.stage.build, *untold])).encode())
-        if hub is None or hub == me or news:
+            self.host.message(hub, [self.stage.build, *untold])
+        if hub in (None, self.known["me"]) or news:
             self.jury.untold = [0] * 12
-        if hub is not None and any(self.relay):
-            self.host.message(None, " ".join(map(str, [0, self.stage.build, *self.relay])).encode())
+        if any(self.relay):
             relay, self.relay = self.relay, [0] * 12
+            self.host.message(None, [0, self.stage.build, *relay])
             self.pool(relay)
 
     def alone(self) -> bool:
@@ -391,15 +312,23 @@
         phase = self.stage.phase if self.stage else None
         return phase == RELEASED or (phase == ON_TRIAL and not self.alone())
 
-    # ---- every outcome passes here first ----
+    # ---- health: every outcome passes here first -----------------------------------------------------------
     def observe(self, outcome: Outcome) -> None:
         dispatch, how, now = outcome.dispatch, outcome.how, self.host.now
         appliance, health = dispatch.appliance, dispatch.appliance.learned
-        self.open -= 1
-        health.note(outcome, now)
-        self.answered += how == SUCCEEDED
-        if self.host.behind() > 150 * MS:   # guards against own stalls being taken for slow machines
-            self.stalled = now
+        self.open, health.open, self.answered = self.open - 1, health.open - 1, self.answered + (how == SUCCEEDED)
+        if how in (SUCCEEDED, ERROR, FULL):
+            health.unanswered = health.silences = 0
+        elif how in (TIMEOUT, RESET, UNCONNECTED):
+            health.silences += 2 if how == UNCONNECTED else 1
+        if how == SUCCEEDED:
+            self.hear(health, outcome.load)
+            health.good, health.strikes = health.good + 1, 0
+        elif how not in (CANCELLED, MOOT):
+            health.bad += 1
+        if health.good + health.bad >= 16:
+            health.good, health.bad = health.good / 2, health.bad / 2
+        operation = dispatch.invocation.operation
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
         if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
@@ -412,19 +341,25 @@
         self.jury.weigh(outcome)
         if self.jury.worst().margin() > 0:
             self.review()
-        # the bound on own open dispatches follows how quickly answers come, as overload shows there first
-        slow = how in (TIMEOUT, FULL) or outcome.took > 0.7 * min(
-            dispatch.patience, dispatch.invocation.operation.slo_time)
-        if how == TIMEOUT and not self.crawling:
-            slow = False                    # guards against lost answers being taken for overload
-        elif how in (SUCCEEDED, FULL):
-            self.crawling = how == FULL or outcome.took > 0.3 * dispatch.invocation.operation.slo_time
-        if slow:                            # settles where one answer in eight is slow
-            least = 1.5 * len(self.fleet) / self.known["agents"]
-            self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least, 0.1)
+        self.bound(how, outcome.took / operation.slo_time, outcome.took / min(dispatch.patience, operation.slo_time))
+        self.stir()
+
+    def bound(self, how: str, took: float, of_patience: float) -> None:
+        """On own open dispatches: follows how quickly answers come; settles where one in eight is slow."""
+        if how in (SUCCEEDED, FULL):
+            self.crawling = how == FULL or took > 0.3       # guards against lost answers taken for overload
+        if how == FULL or (self.crawling if how == TIMEOUT else of_patience > 0.7):
+            least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
+            self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
         elif self.open + 1 >= 0.7 * self.limit:
             self.limit += min(2 / self.limit, 0.05 * self.limit)
-        self.stir()
+
+    def hear(self, health: Notes, load: Mapping[str, float] | None, took: int = 0) -> None:
+        """An answer: its report of what the machine holds or how busy it is; without one, a probe's time."""
+        health.heard = self.host.now
+        if load or took:
+            load = load or {"inflight": took / (50 * MS)}
+            health.load, health.load_at = load.get("inflight", 3 * load.get("util", 0.0)), self.host.now
 
     def stands_out(self, appliance: Appliance) -> bool:
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
@@ -465,7 +400,8 @@
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
             if self.credit >= 0:            # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
-            self.credit += part * served * min(1.0 if self.known["in_place"] else 1.4, self.known["fall_multiple"] * COLD)
+            most = 1.0 if self.known["in_place"] else 2.0
+            self.credit += part * served * min(most, self.known["fall_multiple"] * COLD)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -497,7 +433,8 @@
     def busy(self, appliance: Appliance) -> float:
         health, now = appliance.learned, self.host.now
         load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
-        load += 4 * (health.heard < health.probed) + 2 * (0 < health.unanswered < now - 400 * MS)    # guards against appliances that stand still
+        load += 4 * (health.heard < health.probed)          # guards against appliances that stand still
+        load += 2 * (0 < health.unanswered < now - 400 * MS)
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
@@ -544,12 +481,11 @@
     def on_probe(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
         """An unanswered one is no reason to shut anything: it only makes probes rarer."""
         health = appliance.learned
-        self.probes_answered += ((1.0 if answered else 0.0) - self.probes_answered) / 16
+        self.probes_answered += (answered - self.probes_answered) / 16
         if answered:
-            health.hear(self.host.now, load, took)
-            for inv in health.asking:
+            self.hear(health, load, took)
+            for inv in self.probing:
                 self.host.wake(inv)
-            health.asking = []
 
     def unsure(self, fits: list[Appliance]) -> list[Appliance]:
         """Which of a pair to probe: guards against agents whose own dispatches are too few to tell of a load,
@@ -582,17 +518,14 @@
             self.tend(stage)
             self.stir()
 
-    def tend(self, stage: Stage, due: int | None = None) -> None:
+    def tend(self, stage: Stage) -> None:
         """Looks again from time to time for as long as this word of the platform stands."""
-        if due and self.host.now - due > 150 * MS:
-            self.stalled = self.host.now
         if self.stage.word == stage.word:
             self.review()
             self.tell()
-            self.pace += (self.taken * self.known["window"] / (800 * MS) - self.pace) / 8
+            self.pace += (self.taken * self.known["window"] / LOOK - self.pace) / 8
             self.taken = 0
-            due = self.host.now + 800 * MS
-            self.host.at(due, lambda: self.tend(stage, due))
+            self.host.at(self.host.now + LOOK, lambda: self.tend(stage))
 
     def review(self) -> None:
         stage, now, worst = self.stage, self.host.now, self.jury.worst()
@@ -662,19 +595,18 @@
                 self.held.remove(inv)
             if not fits or inv.concluded:
                 break
-            asked, wait = self.unsure(fits), min(useful, host.now + operation.slo_time // 15)
-            since = host.now
-            for appliance in asked:
-                appliance.learned.asking.append(inv)
-                appliance.learned.probed = host.now
-                host.probe(appliance)
-            while asked and host.now < wait and not inv.concluded:
-                yield Wait(wait)
-                if any(a.learned.heard > since or a.learned.heard == host.now for a in asked):
-                    wait = min(wait, host.now + 2 * known["tick"])
-                if all(a.learned.heard >= since for a in asked):
-                    break
-            fits = [a for a in fits if self.may_go(inv, a)] if asked else fits
+            if asked := self.unsure(fits):
+                since, wait = host.now, min(useful, host.now + operation.slo_time // 15)
+                for appliance in asked:
+                    appliance.learned.probed = host.now
+                    host.probe(appliance)
+                self.probing.append(inv)
+                while not inv.concluded and host.now < wait and not all(a.learned.heard >= since for a in asked):
+                    yield Wait(wait)
+                    if any(a.learned.heard >= since for a in asked):
+                        wait = min(wait, host.now + 2 * known["tick"])
+                self.probing.remove(inv)
+                fits = [a for a in fits if self.may_go(inv, a)]
             if inv.concluded:
                 break
             if not fits:
