--- a/cartweir/drill/adapter.py
+++ b/cartweir/drill/adapter.py
@@ -242,7 +242,7 @@
                 agent.on_message(row["who"], [int(field) for field in fields if field.isdigit()])
             case "SAMPLED":
                 if appliance is not None:
-                    agent.on_probe(appliance, row["verdict"] == 200, row.get("rtt", 0), _load(row) or None)
+                    self.engine.probed(appliance, row["verdict"] == 200, row.get("rtt", 0), _load(row) or None)
             case "UNDER_WAY":
                 inv = self.invocations.get(row["requestId"])
                 if inv is not None:
--- a/cartweir/engine.py
+++ b/cartweir/engine.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from .interface import Appliance, Cancel, Dispatch, Invocation, Outcome, Terminate, Throttle, Wait
+from .interface import Appliance, Cancel, Dispatch, Invocation, Outcome, Probe, Terminate, Throttle, Wait
 from .logic import Agent
 
 
@@ -34,10 +34,11 @@
         self.now, self.lag = now, 0
         self.door = door
         self.log, self.vote, self.subscribe = door.log, door.vote, door.subscribe
-        self.fetch_list, self.probe, self.message = door.fetch_list, door.probe, door.message
+        self.fetch_list, self.message = door.fetch_list, door.message
         self._timers: list[tuple[int, int, Callable[[], None]]] = []
         self._order = 0
         self._woken: deque[tuple[Invocation, int]] = deque()
+        self._probing: list[tuple[Invocation, int, list[Appliance]]] = []
         self._next_alarm: int | None = None
         self.agent = Agent(self, known, random.Random(seed))
 
@@ -82,6 +83,11 @@
         if inv.steps is not None:
             self._resume(inv, outcome)
 
+    def probed(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
+        self.agent.on_probe(appliance, answered, took, load)
+        if answered:
+            self._woken.extend((inv, turn) for inv, turn, asked in self._probing if appliance in asked)
+
     def expired(self, inv: Invocation) -> None:
         """The client has left; nothing more is owed."""
         inv.concluded = True
@@ -117,6 +123,11 @@
                     self.door.dispatch(wish)
                 case Wait():
                     pass
+                case Probe(appliances):
+                    self._probing = [waiting for waiting in self._probing if waiting[0].turn == waiting[1]]
+                    self._probing.append((inv, inv.turn, appliances))
+                    for appliance in appliances:
+                        self.door.probe(appliance)
                 case Cancel(dispatch):
                     self.door.cancel(dispatch)
                     continue
--- a/cartweir/interface.py
+++ b/cartweir/interface.py
@@ -121,6 +121,13 @@
     until: int | None
 
 
+@dataclass(slots=True)
+class Probe:
+    """Probe these; resumed when one has answered, or with None at `until`."""
+    appliances: list[Appliance]
+    until: int
+
+
 @dataclass(slots=True)
 class Cancel:
     """Stop waiting for a dispatch; resumed at once."""
@@ -138,7 +145,7 @@
     """Final answer: no promise on the effect."""
 
 
-Wish = Dispatch | Wait | Cancel | Throttle | Terminate
+Wish = Dispatch | Wait | Probe | Cancel | Throttle | Terminate
 Steps = Generator[Wish, Outcome | None, None]
 
 
@@ -153,5 +160,4 @@
     def vote(self, build: int, stage: int, verdict: str) -> None: ...
     def subscribe(self) -> None: ...
     def fetch_list(self) -> None: ...
-    def probe(self, appliance: Appliance) -> None: ...
     def message(self, to: int | None, figures: list[int]) -> None: ...
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -1,8 +1,8 @@
-"""All decisions of one cartweir instance. Types in and out: interface.py; its memory: state.py.
+"""All decisions of one cartweir instance. Types in and out: interface.py; its plain memory: state.py.
 
-The host (engine.py) makes one Agent(host, known, chance): `known` is the plain map of settings. It calls on_list,
-on_stage, on_tally, on_flag, on_message, on_probe as news comes, observe() for every outcome, and runs handle() for
-each invocation taken: a generator that yields what it wants done. Times are whole microseconds.
+The host (engine.py) makes one Agent(host, known, chance), `known` being the plain map of settings. It calls
+the methods on_... as news comes, observe() for every outcome, and runs handle() for each invocation taken: a
+generator that yields what it wants done. Times are whole microseconds.
 """
 from __future__ import annotations
 
@@ -10,75 +10,63 @@
 from collections import defaultdict, deque
 from collections.abc import Mapping
 from functools import partial
-from math import log
+from math import inf, log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON, ON_TRIAL,
-                        READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Cancel,
-                        Dispatch, Host, Invocation, Operation, Outcome, Stage, Steps, Tally, Terminate, Throttle, Wait)
-from .state import Histogram, Memory, Notes
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
+                        ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
+                        Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Probe, Stage,
+                        Steps, Tally, Terminate, Throttle, Wait)
+from .state import Counts, Histogram, Ledger, Memory, Notes
 
 MS, S = 1_000, 1_000_000
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
-SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width: small blocks
-FLAGS, RARE = (80, 0.05), (120, 0.05)       # large blocks and narrow priors look for little
-POOLED = ((30, 0.2), (30, 0.1))             # slowness and errors of all agents
+SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
+FLAGS, POOLED = (80, 0.05), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
-SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
-APART = 300 * MS                            # between samples of slowness at one appliance: a jam is one event
+SKIP, APART = 5 * S, 300 * MS               # no slow evidence by younger appliances, nor twice within so long
+AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
 LOOK, STALL = 800 * MS, 150 * MS            # between looks at the evidence; an own stall
-AFTER = 10 * S                              # of a release, in which slowness is still the build's
-STALE = S                                   # after so long without an answer, a machine's load is not known
+STALE = S                                   # after so long without an answer a machine's load is not known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
-SLOW_BY = 1.4                               # beyond the usual by more than cold memories of keys explain
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
 EDGES = [round(10 * MS * 1.5 ** i) for i in range(18)]      # bins of times
 
 
 # ---- judge: is the build on trial worse than the earlier one? ---------------------------------------
-class Judge:
+class Judge(Counts):
     """One stream: the paper's mixture likelihood ratio on our own blocks, with Normal densities."""
 
-    def __init__(self, block: int, width: float, half: float = 0.5, level: float = ALPHA) -> None:
-        self.block, self.width, self.half = block, width, half      # half a failure, as this stream counts
-        self.few, self.least = 3, 0.1 if self.block == SLOW[0] else 0.0     # one in ten is slow at best
-        self.level = level                                  # of an error of this agent, for the group's to be ALPHA
-        self.precision = self.weighted = 0.0                # A and S of the design page
-        self.counts, self.failures = [0, 0], [0.0, 0.0]     # of the open block: earlier, trial
-        self.kept = (0, 0.0)                                # the earlier side of the last closed block
-        self.blocks = 0
-
     def add(self, trial: bool, failures: float, count: int, alone: bool) -> None:
         """alone: released and the earlier machines are gone, so the last earlier side stands in."""
         self.counts[trial] += count
         self.failures[trial] += failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
-        if self.counts[False] > 5 * max(self.counts[True], 8):      # of late only: guards against jams, and v of 0
+        if self.counts[False] > 5 * max(self.counts[True], 8):      # of late only: guards against jams
             self.counts[False], self.failures[False] = self.counts[False] / 2, self.failures[False] / 2
-        if self.counts[True] < self.block or self.counts[False] < EARLIER_BLOCK:
-            return
-        precision, weighted = self.gain()
-        self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
-        # blocks fade: guards against a build that turns bad late, or only once it bears the full load
-        self.precision, self.weighted = self.precision * FADE + precision, self.weighted * FADE + weighted
-        self.counts, self.failures = [0, 0], [0.0, 0.0]
+        if self.counts[True] >= self.block and self.counts[False] >= EARLIER_BLOCK:
+            precision, weighted = self.gain()
+            self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
+            # blocks fade: guards against a build that turns bad late, or only once it bears the full load
+            self.precision, self.weighted = self.precision * FADE + precision, self.weighted * FADE + weighted
+            self.counts, self.failures = [0, 0], [0.0, 0.0]
 
     def gain(self) -> tuple[float, float]:
         """1/v and d/v of the open block; v takes the share that both sides would have if nothing differed."""
-        shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
-        shares[False] = max(shares[False], self.least)
-        both = (sum(s * n for s, n in zip(shares, self.counts)) + self.half) / (sum(self.counts) + 2 * self.half)
-        spread = both * (1 - both) * (1 / self.counts[False] + 1 / self.counts[True]) * (2 * self.half) ** 0.5
+        shares, half = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)], self.half
+        if self.block == SLOW[0]:
+            shares[False] = max(shares[False], 0.1)         # one in ten is slow at best, by what slow means
+        both = (sum(s * n for s, n in zip(shares, self.counts)) + half) / (sum(self.counts) + 2 * half)
+        spread = both * (1 - both) * (1 / self.counts[False] + 1 / self.counts[True]) * (2 * half) ** 0.5
         return 1 / spread, (shares[True] - shares[False]) / spread
 
     def log_ratio(self) -> float:
-        """ln L; 0 while the new build looks no worse. An open block counts once it holds two failures: guards
-        against agents with so little traffic that none of their blocks ever fills."""
+        """ln L. An open block counts from two failures on: with little traffic none ever fills."""
         precision, weighted = self.precision, self.weighted
-        if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > self.few * self.half:
+        if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > 3 * self.half:
             precision, weighted = (old + new for old, new in zip((precision, weighted), self.gain()))
         if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[0][0]):       # a jam fills one
             return 0.0
@@ -86,8 +74,7 @@
         return self.width ** 2 * weighted ** 2 / (2 * grown) - log(grown) / 2
 
     def margin(self) -> float:
-        """Above 0: 'back' stands."""
-        return self.log_ratio() + log(self.level)
+        return self.log_ratio() + log(self.level)           # above 0: 'back' stands
 
 
 class Jury:
@@ -96,86 +83,66 @@
     def __init__(self, agent: Agent) -> None:
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
-        self.times: dict[tuple, Histogram] = defaultdict(partial(Histogram, EDGES, 400))
-        # of earlier builds and the trial: answers, reports; timed, slow; told from errors, errors
-        self.untold = [0] * 12
-        self.failing: tuple = (None, 0)             # of the trial, the last to fail or to be slow, and when
+        self.times: dict[str, Histogram] = defaultdict(partial(Histogram, EDGES, 400))
+        self.untold = Ledger()                  # kinds: reports, slowness, errors
+        self.failing: tuple = (None, 0)         # of the trial, the last to fail or to be slow, and when
+        # guards against one of very many being wrong: the more may vote and the fewer are needed, the smaller
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
-        # guards against one of very many being wrong: so small that fewer than are needed err together
         self.level = min(ALPHA, max(ALPHA * needed, needed - 2 * needed ** 0.5) / agents ** 0.5)
 
     def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
         if (operation, stream) not in self.judges:
-            pooled = self.known["may_message"] and operation is None and stream not in (RARE, SLOW)
+            pooled = self.known["may_message"] and operation is None and stream != SLOW
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level)
         self.judges[operation, stream].add(trial, failures, count, self.agent.alone())
 
     def worst(self) -> Judge:
-        return max(self.judges.values(), key=Judge.margin, default=Judge(*SLOW))
-
-    def evidence(self) -> str:
-        worst = self.worst()
-        return (f"ln L {worst.log_ratio():.2f}, {worst.blocks} blocks of {worst.block}, open: {worst.failures[1]:.0f} of "
-                f"{worst.counts[1]:.0f} against {worst.failures[0]:.0f} of {worst.counts[0]:.0f}")
+        return max(self.judges.values(), key=Judge.margin, default=Judge(*SLOW, level=ALPHA))
 
     def share(self, kind: int, trial: bool, failures: int, count: int, own: bool = True) -> None:
         """Streams that agents pool where they may message. Reported answers stand for those not reported."""
-        if own:
-            self.untold[4 * kind + trial] += count
-            self.untold[4 * kind + 2 + trial] += failures
-            if self.known["may_message"] and self.agent.hub() is not None:
-                return                      # comes back with the sum
-        if kind == 0 and (part := self.known["flag_share"]) > 0:
+        if own and self.known["may_message"]:               # comes back with the sum
+            self.untold.note(kind, trial, count, failures)
+        elif kind == 0 and (part := self.known["flag_share"]) > 0:
             self.add(None, (*FLAGS, 0.5 / part), trial, failures / part, count)
-        elif kind and self.known["may_message"]:
+        elif kind and not own:
             self.add(None, POOLED[kind - 1], trial, failures, count)
 
     def weigh(self, outcome: Outcome) -> None:
         """What is evidence in an outcome."""
-        dispatch, how, now = outcome.dispatch, outcome.how, self.agent.host.now
-        operation, appliance = dispatch.invocation.operation, dispatch.appliance
-        trial = self.agent.on_newest(appliance)
-        times, common = self.times[operation, appliance.kind], self.times[None, None]
-        too_long = float("inf")     # well beyond the bin of nine tenths; of all, by parts of SLO times, where few
-        if times.total >= 15:
-            too_long = SLOW_BY * times.edge(0.9)
-        elif common.total >= 15:
-            too_long = SLOW_BY * common.edge(0.9) * operation.slo_time / S
+        dispatch, how = outcome.dispatch, outcome.how
+        operation, trial = dispatch.invocation.operation, self.agent.on_newest(dispatch.appliance)
+        times, slo_time = self.times[dispatch.appliance.kind], operation.slo_time     # in parts of SLO times
+        too_long = SLOW_BY * times.edge(0.9) * slo_time / S if times.total >= 15 else inf
         if not trial and how == SUCCEEDED:
-            times.add(outcome.took)
-            common.add(outcome.took * S // operation.slo_time)
+            times.add(outcome.took * S // slo_time)
         if not self.agent.judging() or how == CANCELLED or how in NEVER_RAN:
             return
-        if how == SUCCEEDED:
-            # guards against requests that fail anywhere: an error counts once a repeat has shown it needless
-            for earlier in dispatch.invocation.dispatches:
-                if earlier.ended == ERROR:
-                    self.judged(earlier, True, True)
+        if how == SUCCEEDED:        # guards against what fails anywhere: errors count once repeated well
+            for earlier in (d for d in dispatch.invocation.dispatches if d.ended == ERROR):
+                self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
-        elif how == ERROR and not outcome.complete and operation.effect != SIDE_EFFECTING:
-            return
-        self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long, how == TIMEOUT)
+        if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
+            slow = how != SUCCEEDED or outcome.took > too_long
+            self.judged(dispatch, how in (ERROR, RESET), slow, how == TIMEOUT)
 
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool, silent: bool = False) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
-        trial, health = self.agent.on_newest(appliance), appliance.learned
-        if trial and (failed or slow) and len(self.agent.trial) > 1:
-            last, self.failing = self.failing, (appliance, now)     # guards against a failing machine being
-            if appliance is last[0] and now - last[1] < 3 * S:      # taken for a failing build
+        trial, health, trials = self.agent.on_newest(appliance), appliance.learned, len(self.agent.trial)
+        if trial and (failed or slow) and trials > 1:       # in a row a machine counts once, lest it be taken
+            last, self.failing = self.failing, (appliance, now)     # for a bad build
+            if appliance is last[0] and now - last[1] < 3 * S:
                 return
         if failed and self.agent.stands_out(appliance):
             return
         if not silent:
             self.add(operation, ERRORS, trial, failed)
-            self.add(None, RARE, trial, failed)
             self.share(2, trial, failed, 1)
-        # a cold or crowded one is slow whatever its build; so are all after a jump, with none to compare
-        young = appliance.started and now - appliance.started < SKIP
-        single = trial and len(self.agent.trial) == 1      # the machine or the build: not to be told
-        spoilt = young or single or dispatch.learned or self.agent.host.lag > STALL     # an own stall
-        late = self.agent.alone() and now - self.agent.stage_since > AFTER
-        if not (spoilt or late) and now - health.sampled > APART:
+        # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a later jump
+        spoilt = now - appliance.started < SKIP and appliance.started or self.agent.host.lag > STALL or (
+            trial and trials == 1) or (self.agent.alone() and now - self.agent.stage_since > AFTER)
+        if not spoilt and now - health.sampled > APART:
             health.sampled = now
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
@@ -187,8 +154,7 @@
     """Keeps every span of the window within free + cap x taken, also one that ends between events."""
 
     def __init__(self, known: Mapping[str, Any]) -> None:
-        self.window, self.free = known["window"] + 2 * known["tick"], known["free"]
-        self.taken = 0
+        self.window, self.free, self.taken = known["window"] + 2 * known["tick"], known["free"], 0
         self.sends: deque[list[int]] = deque()      # [when, invocations taken up to then]
 
     def take(self, now: int) -> None:
@@ -208,11 +174,11 @@
 
 
 class Agent(Memory):
-    """One instance: the news, the pick, the votes and the invocations."""
+    """One instance: the news, health, the pick, the votes and the invocations."""
 
     def __init__(self, host: Host, known: Mapping[str, Any], chance: random.Random) -> None:
-        super().__init__(host, known, chance, spare_retries=10.0, watch=chance.random(), credit=chance.random() - 1)
-        self.jury, self.relay = Jury(self), [0] * 12
+        super().__init__(host, known, chance, spare_retries=10.0, watch=chance.random())
+        self.credit, self.jury = chance.random() - 1, Jury(self)
         whole, apart = Exposure(known), known["per_operation"]
         self.exposures = {operation: Exposure(known) if apart else whole for operation in known["operations"]}
         if known["must_ask"]:
@@ -222,7 +188,7 @@
     def some(self, time: int) -> int:
         return self.chance.randrange(time // 2, time)           # spreads agents out
 
-    # ---- the list ----
+    # ---- the news ----
     def keep_asking(self) -> None:
         """Until a subscription stands, ask again; well before not asking counts as having been told."""
         if not self.subscribed:
@@ -249,9 +215,8 @@
         self.trial, self.earlier, self.cold = [], [], [a for a in self.fleet if self.warmth(a) < 1.0]
         for appliance in self.fleet:
             (self.earlier if self.cap_of(appliance) is None else self.trial).append(appliance)
-        both = not self.earlier or self.known["in_place"] or self.stage and self.stage.phase != ON_TRIAL
-        before = self.fleet if both else self.earlier
-        self.places = sum(a.weight for a in before) or 1.0
+        both = not self.earlier or self.known["in_place"] or (self.stage and self.stage.phase != ON_TRIAL)
+        self.places = sum(a.weight for a in (self.fleet if both else self.earlier)) or 1.0
 
     def on_tally(self, tally: Tally) -> None:
         """The platform's own count joins the block like our own outcomes."""
@@ -264,43 +229,33 @@
             self.jury.share(0, self.on_newest(appliance), 1, 0)
             self.review()
 
-    def hub(self) -> int | None:
-        """Who adds up the counts at present; None: all tell all, where agents are few."""
-        agents = self.known["agents"]
-        return None if agents <= 8 else (self.stage.build * 31 + self.host.now // (2 * S)) % agents
+    def hub(self) -> int:
+        """Who adds up the counts at present: messages grow evenly with the agents."""
+        return (self.stage.build * 31 + self.host.now // (2 * S)) % self.known["agents"]
 
     def on_message(self, sender: int, figures: list[int]) -> None:
-        """Counts from another agent, of what one agent alone sees too little; a sum has a 0 in front."""
+        """Counts of what one agent sees too little: another's for the hub, or a sum with a 0 in front."""
         if len(figures) in (13, 14) and self.judging() and figures[-13] == self.stage.build:
-            if len(figures) == 13 and self.hub() is not None:
-                self.relay = [old + new for old, new in zip(self.relay, figures[1:])]
+            if len(figures) == 13:
+                self.relay.merge(figures[1:])
             else:
-                self.pool(figures[-12:])
+                self.pool(figures[2:])
 
     def pool(self, figures: list[int]) -> None:
-        for at in (0, 1, 4, 5, 8, 9):
-            if figures[at] or figures[at + 2]:
-                self.jury.share(at // 4, bool(at % 4), figures[at + 2], figures[at], own=False)
+        for kind, trial, count, failures in Ledger(figures).rows():
+            self.jury.share(kind, trial, failures, count, own=False)
         self.review()
 
     def tell(self) -> None:
-        """Own counts go to all, or to the hub, whose sum goes to all: messages grow evenly with the agents."""
-        untold = self.jury.untold
-        if not self.known["may_message"] or not self.judging():
-            return
-        hub, news = self.hub(), any(untold[1::4] + untold[3::4])
-        if hub is None and any(untold):
-            self.host.message(None, [self.stage.build, *untold])
-        elif hub == self.known["me"]:
-            self.relay = [old + new for old, new in zip(self.relay, untold)]
-        elif hub is not None and news:
-            self.host.message(hub, [self.stage.build, *untold])
-        if hub in (None, self.known["me"]) or news:
-            self.jury.untold = [0] * 12
-        if any(self.relay):
-            relay, self.relay = self.relay, [0] * 12
-            self.host.message(None, [0, self.stage.build, *relay])
-            self.pool(relay)
+        """Own counts go to the hub once the trial is among them; its sum goes to all."""
+        if self.hub() == self.known["me"]:
+            self.relay.merge(self.jury.untold.take())
+        elif self.jury.untold.of_trial():
+            self.host.message(self.hub(), [self.stage.build, *self.jury.untold.take()])
+        if any(self.relay.figures):
+            figures = self.relay.take()
+            self.host.message(None, [0, self.stage.build, *figures])
+            self.pool(figures)
 
     def alone(self) -> bool:
         return self.stage is None or not any(a.build < self.stage.build for a in self.earlier)
@@ -316,19 +271,10 @@
     def observe(self, outcome: Outcome) -> None:
         dispatch, how, now = outcome.dispatch, outcome.how, self.host.now
         appliance, health = dispatch.appliance, dispatch.appliance.learned
-        self.open, health.open, self.answered = self.open - 1, health.open - 1, self.answered + (how == SUCCEEDED)
-        if how in (SUCCEEDED, ERROR, FULL):
-            health.unanswered = health.silences = 0
-        elif how in (TIMEOUT, RESET, UNCONNECTED):
-            health.silences += 2 if how == UNCONNECTED else 1
+        self.open, self.answered = self.open - 1, self.answered + (how == SUCCEEDED)
+        health.note(how, 16)
         if how == SUCCEEDED:
             self.hear(health, outcome.load)
-            health.good, health.strikes = health.good + 1, 0
-        elif how not in (CANCELLED, MOOT):
-            health.bad += 1
-        if health.good + health.bad >= 16:
-            health.good, health.bad = health.good / 2, health.bad / 2
-        operation = dispatch.invocation.operation
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
         if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
@@ -341,26 +287,31 @@
         self.jury.weigh(outcome)
         if self.jury.worst().margin() > 0:
             self.review()
-        self.bound(how, outcome.took / operation.slo_time, outcome.took / min(dispatch.patience, operation.slo_time))
-        self.stir()
-
-    def bound(self, how: str, took: float, of_patience: float) -> None:
-        """On own open dispatches: follows how quickly answers come; settles where one in eight is slow."""
-        if how in (SUCCEEDED, FULL):
-            self.crawling = how == FULL or took > 0.3       # guards against lost answers taken for overload
-        if how == FULL or (self.crawling if how == TIMEOUT else of_patience > 0.7):
+        # the bound on own open dispatches settles where one answer in eight is slow
+        slo_time = dispatch.invocation.operation.slo_time
+        if how in (SUCCEEDED, FULL):                # guards against lost answers being taken for overload
+            self.crawling = how == FULL or outcome.took > 0.3 * slo_time
+        late = outcome.took > 0.7 * min(dispatch.patience, slo_time)
+        if how == FULL or (self.crawling if how == TIMEOUT else late):
             least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
         elif self.open + 1 >= 0.7 * self.limit:
             self.limit += min(2 / self.limit, 0.05 * self.limit)
+        self.stir()
 
-    def hear(self, health: Notes, load: Mapping[str, float] | None, took: int = 0) -> None:
+    def hear(self, health: Notes, load: Mapping | None, took: int = 0) -> None:
         """An answer: its report of what the machine holds or how busy it is; without one, a probe's time."""
         health.heard = self.host.now
         if load or took:
             load = load or {"inflight": took / (50 * MS)}
             health.load, health.load_at = load.get("inflight", 3 * load.get("util", 0.0)), self.host.now
 
+    def on_probe(self, appliance: Appliance, answered: bool, took: int, load: Mapping | None) -> None:
+        """An unanswered one is no reason to shut anything: it only makes probes rarer."""
+        self.probes_answered += (answered - self.probes_answered) / 16
+        if answered:
+            self.hear(appliance.learned, load, took)
+
     def stands_out(self, appliance: Appliance) -> bool:
         """Fails far more than its build's other appliances: then it is the machine and not the build."""
         health = appliance.learned
@@ -389,8 +340,8 @@
         return ramp + (1 - ramp) * self.known["cold_share"]
 
     def warm_up(self) -> None:
-        """Guards cold appliances against the sum of all agents: each invocation taken earns this agent their
-        even part of it, cut to what is warm and to what succeeds; whole dispatches come of it in time."""
+        """Guards cold ones against the sum of all agents: an invocation taken earns their even part of it, cut
+        to what is warm and to what succeeds; whole dispatches come of it in time."""
         self.asked, self.taken = self.asked + 1, self.taken + 1
         if self.asked > 40:
             self.asked, self.answered = self.asked / 2, self.answered / 2
@@ -398,7 +349,7 @@
             self.cold = [a for a in self.cold if a.state == READY and self.warmth(a) < 1.0]
             part = sum(a.weight * self.warmth(a) for a in self.cold) / self.places
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
-            if self.credit >= 0:            # not spent at once: lapses, or all agents would save up for a burst
+            if self.credit >= 0:        # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
             most = 1.0 if self.known["in_place"] else 2.0
             self.credit += part * served * min(most, self.known["fall_multiple"] * COLD)
@@ -411,18 +362,17 @@
         if not maybe or operation.effect == IDEMPOTENT:
             return True
         return operation.effect == FINGERPRINTED and all(
-            self.host.now < d.sent + operation.window - 50 * MS and (operation.group == "all" or (
-                appliance.zone == d.appliance.zone and operation.group == "zone") or (
-                appliance.cell == d.appliance.cell and operation.group == "cell")) for d in maybe)
+            self.host.now < d.sent + operation.window - 50 * MS and {
+                "all": True, "zone": appliance.zone == d.appliance.zone,
+                "cell": appliance.cell == d.appliance.cell}[operation.group] for d in maybe)
 
     def may_go(self, inv: Invocation, appliance: Appliance) -> bool:
         """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, keys."""
         health, stage = appliance.learned, self.stage
-        if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open):
-            return False
-        if self.credit < 0 and self.warmth(appliance) < 1.0:
+        if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open) or (
+                not self.may_repeat(inv, appliance) or (self.credit < 0 and self.warmth(appliance) < 1.0)):
             return False
-        cap = self.cap_of(appliance) if self.may_repeat(inv, appliance) else 0.0
+        cap = self.cap_of(appliance)
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
             over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
@@ -434,64 +384,49 @@
         health, now = appliance.learned, self.host.now
         load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
         load += 4 * (health.heard < health.probed)          # guards against appliances that stand still
-        load += 2 * (0 < health.unanswered < now - 400 * MS)
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
 
+    def fits(self, inv: Invocation, appliance: Appliance, tried: list[Appliance]) -> bool:
+        health = appliance.learned          # silent to its latest probe while most are answered: seldom tried
+        mute = health.heard < health.probed < self.host.now - 100 * MS and (
+            self.chance.random() < min(0.9, self.probes_answered))
+        return appliance not in tried and not mute and self.may_go(inv, appliance)
+
     def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> list[Appliance]:
         """Two random ones that fit; the whole side is looked at only when draws find none."""
-        def fits(appliance: Appliance) -> bool:
-            health = appliance.learned      # silent to the latest probe while most are answered: seldom tried
-            mute = health.heard < health.probed < self.host.now - 100 * MS and (
-                self.chance.random() < min(0.9, self.probes_answered))
-            return appliance not in tried and not mute and self.may_go(inv, appliance)
         found: list[Appliance] = []
         for appliance in self.chance.sample(side, min(8, len(side))):
-            if fits(appliance):
+            if len(found) < 2 and self.fits(inv, appliance, tried):
                 found.append(appliance)
-            if len(found) == 2:
-                break
-        if not found and len(side) > 8 and (found := [a for a in side if fits(a)]):
+        if not found and len(side) > 8 and (found := [a for a in side if self.fits(inv, a, tried)]):
             found = self.chance.sample(found, min(2, len(found)))
         return found
 
     def watches(self) -> bool:
-        """Where the free number alone lets agents send far more than their part, few send all they may and the
-        others none: guards against evidence spread so thin that nobody holds any."""
+        """Where the free number lets all send far more than their part, few send all they may: thin evidence
+        spread over all would be held by none."""
         part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
         share = part / min(1.0, max(self.stage.cap, 0.01) + self.known["free"] / max(self.pace, 0.5))
         few = share < 0.5 and share * self.known["agents"] >= 8
         return self.watch < share if few else self.chance.random() < part
 
     def pick(self, inv: Invocation) -> list[Appliance]:
-        """The trial gets its machines' part, so that it is judged at full load before its release, from the
-        cold credit or by chance. Repeats go to the earlier build, unless the key must stay."""
+        """The trial gets its machines' part, to be judged at full load before its release. Repeats go to the
+        earlier build, unless the key must stay."""
         tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
         fair = self.stage and self.stage.phase == ON_TRIAL and not (self.vote and self.vote[2] == BACK)
         if not tried and self.cold and self.credit >= 0:
             sides.insert(0, [a for a in self.cold if fair or self.cap_of(a) is None])
         elif not tried and fair and self.trial and self.watches():
             sides.reverse()
-        for skip in (tried, []) if tried else ([],):
-            for side in sides:
-                if found := self.draw(inv, side, skip):
-                    return found
-        return []
+        choices = (self.draw(inv, side, skip) for skip in ((tried, []) if tried else ([],)) for side in sides)
+        return next(filter(None, choices), [])
 
-    def on_probe(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
-        """An unanswered one is no reason to shut anything: it only makes probes rarer."""
-        health = appliance.learned
-        self.probes_answered += (answered - self.probes_answered) / 16
-        if answered:
-            self.hear(health, load, took)
-            for inv in self.probing:
-                self.host.wake(inv)
-
-    def unsure(self, fits: list[Appliance]) -> list[Appliance]:
-        """Which of a pair to probe: guards against agents whose own dispatches are too few to tell of a load,
-        a standstill or a slow link."""
-        stale = [a for a in fits if self.host.now - a.learned.heard > STALE]
-        worth = self.known["may_probe"] and len(fits) == 2 and len(stale) > 0
+    def unsure(self, pair: list[Appliance]) -> list[Appliance]:
+        """Whom to probe: own dispatches may be too few to tell of a load, a standstill or a slow link."""
+        stale = [a for a in pair if self.host.now - a.learned.heard > STALE]
+        worth = self.known["may_probe"] and len(pair) == 2
         return stale if worth and self.chance.random() < max(self.probes_answered, 0.05) else []
 
     # ---- votes -------------------------------------------------------------------------------------------
@@ -504,13 +439,11 @@
         self.stage = stage
         self.regroup()
         if old is None or stage.build != old.build:
-            self.jury.judges, self.jury.untold, self.relay = {}, [0] * 12, [0] * 12
+            self.jury.judges, self.jury.untold, self.relay = {}, Ledger(), Ledger()
             self.jury.failing, self.watch = (None, 0), self.chance.random()
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or stage.word != old.word:
-            if self.jury.worst().log_ratio() > 0:
-                self.host.log(f"build {stage.build} stage {stage.number} {stage.phase}: {self.jury.evidence()}")
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
             voters = max(known["vote_allowance"] * known["vote_life"] / S,
                          known["on_votes"] if known["control"] == "share" else 0)
@@ -522,9 +455,9 @@
         """Looks again from time to time for as long as this word of the platform stands."""
         if self.stage.word == stage.word:
             self.review()
-            self.tell()
-            self.pace += (self.taken * self.known["window"] / LOOK - self.pace) / 8
-            self.taken = 0
+            if self.judging() and self.known["may_message"]:
+                self.tell()
+            self.pace, self.taken = self.pace + (self.taken * self.known["window"] / LOOK - self.pace) / 8, 0
             self.host.at(self.host.now + LOOK, lambda: self.tend(stage))
 
     def review(self) -> None:
@@ -534,10 +467,10 @@
         if worst.margin() > 0:
             self.plan(BACK)
         elif stage.phase == ON_TRIAL:
-            starts = [a.started for a in self.trial if a.build == stage.build]
-            due = self.known["shares"][stage.number] * len(self.fleet if self.known["in_place"] else self.earlier)
-            newest = max(starts, default=0)
-            if newest < self.stage_since or len(starts) < due - 1e-6:     # this stage's machines are not listed yet
+            starts = [a.started for a in self.trial]
+            places = self.fleet if self.known["in_place"] else self.earlier
+            newest, due = max(starts, default=0), self.known["shares"][stage.number] * len(places) - 1e-6
+            if newest < self.stage_since or len(starts) < due:      # this stage's machines are not listed yet
                 newest = self.stage_since + 8 * S
             undecided = worst.log_ratio() > log(HOLD_ABOVE)
             self.undecided_since = self.undecided_since or (now if undecided else 0)
@@ -557,8 +490,10 @@
 
     def cast(self, vote: tuple) -> None:
         if vote == self.vote:
-            if vote[2] != ON or self.jury.worst().log_ratio() > 0:
-                self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: {self.jury.evidence()}")
+            worst = self.jury.worst()
+            if vote[2] != ON or worst.log_ratio() > 0:
+                self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: "
+                              f"ln L {worst.log_ratio():.2f}, {worst}")
             self.host.vote(*vote)
             self.host.at(self.host.now + self.known["vote_life"], lambda: self.recast(vote))
 
@@ -583,35 +518,24 @@
         useful = end if operation.late_value > 0 else min(end, inv.taken + operation.slo_time)
         part = self.chance.random()                         # chance stands for what is less than one dispatch
         while True:
-            # 1. a place, or hold; overload is told by how long the oldest held one has waited
-            held_until, fits = min(useful, host.now + operation.slo_time // 6), []
+            # 1. a pair, or hold; overload is told by how long the oldest held one has waited
+            held_until, pair = min(useful, host.now + operation.slo_time // 6), []
             while not inv.concluded:
                 if self.open + part < self.limit:
-                    fits = self.pick(inv)
-                if fits or host.now >= held_until:
+                    pair = self.pick(inv)
+                if pair or host.now >= held_until:
                     break
                 self.held.append(inv)
                 yield Wait(min(held_until, host.now + 50 * MS))
                 self.held.remove(inv)
-            if not fits or inv.concluded:
-                break
-            if asked := self.unsure(fits):
-                since, wait = host.now, min(useful, host.now + operation.slo_time // 15)
+            if pair and (asked := self.unsure(pair)) and not inv.concluded:
                 for appliance in asked:
                     appliance.learned.probed = host.now
-                    host.probe(appliance)
-                self.probing.append(inv)
-                while not inv.concluded and host.now < wait and not all(a.learned.heard >= since for a in asked):
-                    yield Wait(wait)
-                    if any(a.learned.heard >= since for a in asked):
-                        wait = min(wait, host.now + 2 * known["tick"])
-                self.probing.remove(inv)
-                fits = [a for a in fits if self.may_go(inv, a)]
-            if inv.concluded:
+                yield Probe(asked, min(useful, host.now + operation.slo_time // 15))
+                if not inv.concluded and not (pair := [a for a in pair if self.may_go(inv, a)]):
+                    continue
+            if not pair or inv.concluded:
                 break
-            if not fits:
-                continue
-            place = min(fits, key=self.busy)
             # 2. dispatch; a second copy where one is allowed and little waits
             patience, second_at = end - host.now, end
             if operation.effect != SIDE_EFFECTING:
@@ -619,20 +543,21 @@
                     second_at = host.now + (useful - host.now) // 2
                 elif not known["may_duplicate"] and not inv.dispatches:
                     patience = (useful - host.now) * 6 // 10
-            yield self.send(inv, place, patience, second_at)
+            yield self.send(inv, min(pair, key=self.busy), patience, second_at)
             while not inv.concluded and (inv.streaming or any(d.ended is None for d in inv.dispatches)):
                 if host.now >= end and not inv.streaming:
                     break
                 if host.now < second_at or inv.streaming:
                     yield Wait(second_at if host.now < second_at else None)
                     continue
-                second_at, place = end, min(self.pick(inv), key=self.busy, default=None)
-                if place and place not in [d.appliance for d in inv.dispatches] and self.may_retry(inv, 4.0):
+                second_at, tried = end, [d.appliance for d in inv.dispatches]
+                place = min(self.pick(inv), key=self.busy, default=None)
+                if place and place not in tried and self.may_retry(inv, 4.0):
                     yield self.send(inv, place, end - host.now, end)
-            # 3. again, if there is use in it
-            if inv.concluded or host.now >= useful - 20 * MS or not self.may_retry(
-                    inv, 0.25 if inv.dispatches[-1].ended in (ERROR, UNCONNECTED) else 1.0) or [
-                    d.ended for d in inv.dispatches].count(ERROR) > 1 or not any(
+            # 3. again, if there is use in it: what has erred twice errs anywhere
+            ended = [d.ended for d in inv.dispatches]
+            if inv.concluded or host.now >= useful - 20 * MS or ended.count(ERROR) > 1 or not self.may_retry(
+                    inv, 0.25 if ended[-1] in (ERROR, UNCONNECTED) else 1.0) or not any(
                     self.may_repeat(inv, a) for a in self.fleet):
                 break
         if not inv.concluded:
@@ -649,16 +574,12 @@
 
     def send(self, inv: Invocation, place: Appliance, patience: int, until: int) -> Dispatch:
         """Books a dispatch that the gate has let through."""
-        now, health = self.host.now, place.learned
+        health, exposure = place.learned, self.exposures[inv.operation]
         self.open, health.open, health.load = self.open + 1, health.open + 1, health.load + 1
-        health.unanswered = health.unanswered or now
-        if self.warmth(place) < 1.0:
-            self.credit -= 1
+        self.credit -= self.warmth(place) < 1.0
         if self.cap_of(place) is not None:
-            exposure = self.exposures[inv.operation]
-            exposure.sends.append([now, exposure.taken])
-        crowded = health.open > 1 + 1.5 * self.open / sum(a.weight for a in self.fleet) * place.weight
-        return Dispatch(place, max(patience, MS), until, learned=crowded)
+            exposure.sends.append([self.host.now, exposure.taken])
+        return Dispatch(place, max(patience, MS), until)
 
     def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -2,12 +2,12 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import accumulate
 from typing import Any
 
-from .interface import Appliance, Invocation, Stage
+from .interface import CANCELLED, ERROR, FULL, MOOT, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Invocation, Stage
 
 
 class Histogram:
@@ -29,6 +29,53 @@
         return self.edges[min(place, len(self.edges) - 1)]
 
 
+@dataclass(eq=False)
+class Counts:
+    """Of one stream of evidence: its block size, prior width and what came in."""
+    block: int
+    width: float
+    half: float = 0.5               # half a failure, as this stream counts
+    level: float = 0.0              # of an error by this agent alone
+    precision: float = 0.0          # A and S of the design page
+    weighted: float = 0.0
+    blocks: int = 0                 # closed ones
+    counts: list[float] = field(default_factory=lambda: [0, 0])             # of the open one: earlier, trial
+    failures: list[float] = field(default_factory=lambda: [0.0, 0.0])
+    kept: tuple[float, float] = (0, 0.0)                                    # earlier side of the last closed one
+
+    def __str__(self) -> str:
+        sides = " against ".join(f"{self.failures[side]:.0f} of {self.counts[side]:.0f}" for side in (1, 0))
+        return f"{self.blocks} blocks of {self.block}, open {sides}"
+
+
+class Ledger:
+    """Counts to be told to others: for each kind answers of earlier builds and the trial, then failures of both."""
+
+    def __init__(self, figures: Sequence[int] = (0,) * 12) -> None:
+        self.figures = list(figures)
+
+    def note(self, kind: int, trial: bool, count: int, failures: int) -> None:
+        self.figures[4 * kind + trial] += count
+        self.figures[4 * kind + 2 + trial] += failures
+
+    def merge(self, figures: Sequence[int]) -> None:
+        self.figures = [old + new for old, new in zip(self.figures, figures)]
+
+    def take(self) -> list[int]:
+        figures, self.figures = self.figures, [0] * len(self.figures)
+        return figures
+
+    def of_trial(self) -> bool:
+        return any(self.figures[1::2])
+
+    def rows(self) -> Iterator[tuple[int, bool, int, int]]:
+        """Kind, trial, count, failures."""
+        for at in range(0, len(self.figures), 4):
+            for trial in (0, 1):
+                if self.figures[at + trial] or self.figures[at + 2 + trial]:
+                    yield at // 4, bool(trial), self.figures[at + trial], self.figures[at + 2 + trial]
+
+
 @dataclass(eq=False, slots=True)
 class Notes:
     """On one appliance."""
@@ -38,13 +85,26 @@
     shut_until: int = 0
     strikes: int = 0
     silences: int = 0               # silent ends since its last answer
-    unanswered: int = 0             # when the first dispatch since its last answer was sent
     sampled: int = 0                # when its slowness was last taken as evidence
     load: float = 0.0               # as reported, with own dispatches since
     load_at: int = 0
     heard: int = 0                  # when it last answered
     probed: int = 0                 # when it was last probed
 
+    def note(self, how: str, most: int) -> None:
+        """One of our dispatches has ended; at `most` outcomes the counts are halved."""
+        self.open -= 1
+        if how in (SUCCEEDED, ERROR, FULL):
+            self.silences = 0
+        elif how in (TIMEOUT, RESET, UNCONNECTED):
+            self.silences += 1
+        if how == SUCCEEDED:
+            self.good, self.strikes = self.good + 1, 0
+        elif how not in (CANCELLED, MOOT):
+            self.bad += 1
+        if self.good + self.bad >= most:
+            self.good, self.bad = self.good / 2, self.bad / 2
+
     def bad_share(self) -> float:
         return self.bad / (self.good + self.bad + 2)
 
@@ -69,7 +129,6 @@
     subscribed: bool = False
     bound_keys: dict[str, int] = field(default_factory=dict)    # one-way keys -> newest build that answered
     held: list[Invocation] = field(default_factory=list)
-    probing: list[Invocation] = field(default_factory=list)     # held until a probe is answered
     open: int = 0                   # own dispatches out
     limit: float = 0.0              # and their bound
     crawling: bool = False          # the latest answer was slow
@@ -81,4 +140,4 @@
     credit: float = 0.0             # dispatches earned at cold machines
     asked: float = 0.0              # invocations taken, and succeeded; halved now and then
     answered: float = 0.0
-    relay: list[int] = field(default_factory=list)              # counts of others to be told
+    relay: Ledger = field(default_factory=Ledger)               # counts of others to be told
