--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -542,7 +542,7 @@
                 if known["may_duplicate"] and not self.held and self.open < 0.8 * self.limit:
                     second_at = host.now + (useful - host.now) // 2
                 elif not known["may_duplicate"] and not inv.dispatches:
-                    patience = (useful - host.now) * 6 // 10
+                    patience = (useful - host.now) * 9 // 10
             yield self.send(inv, min(pair, key=self.busy), patience, second_at)
             while not inv.concluded and (inv.streaming or any(d.ended is None for d in inv.dispatches)):
                 if host.now >= end and not inv.streaming:
@@ -552,7 +552,7 @@
                     continue
                 second_at, tried = end, [d.appliance for d in inv.dispatches]
                 place = min(self.pick(inv), key=self.busy, default=None)
-                if place and place not in tried and self.may_retry(inv, 4.0):
+                if place and place not in tried and self.may_retry(inv, 3.0):
                     yield self.send(inv, place, end - host.now, end)
             # 3. again, if there is use in it: what has erred twice errs anywhere
             ended = [d.ended for d in inv.dispatches]
