--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -7,9 +7,8 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Mapping
-from functools import partial
 from math import inf, log
 from typing import Any
 
@@ -25,10 +24,9 @@
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
 FLAGS, POOLED = (80, 0.05), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
-SKIP, APART = 5 * S, 300 * MS               # no slow evidence by younger appliances, nor twice within so long
+SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
-LOOK, STALL = 800 * MS, 150 * MS            # between looks at the evidence; an own stall
-STALE = S                                   # after so long without an answer a machine's load is not known
+LOOK, STALL, STALE = 800 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
@@ -41,8 +39,7 @@
 
     def add(self, trial: bool, failures: float, count: int, alone: bool) -> None:
         """alone: released and the earlier machines are gone, so the last earlier side stands in."""
-        self.counts[trial] += count
-        self.failures[trial] += failures
+        self.counts[trial], self.failures[trial] = self.counts[trial] + count, self.failures[trial] + failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
         if self.counts[False] > 5 * max(self.counts[True], 8):      # of late only: guards against jams
@@ -83,7 +80,7 @@
     def __init__(self, agent: Agent) -> None:
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
-        self.times: dict[str, Histogram] = defaultdict(partial(Histogram, EDGES, 400))
+        self.times: dict[str, Histogram] = {}
         self.untold = Ledger()                  # kinds: reports, slowness, errors
         self.failing: tuple = (None, 0)         # of the trial, the last to fail or to be slow, and when
         # guards against one of very many being wrong: the more may vote and the fewer are needed, the smaller
@@ -110,10 +107,10 @@
             self.add(None, POOLED[kind - 1], trial, failures, count)
 
     def weigh(self, outcome: Outcome) -> None:
-        """What is evidence in an outcome."""
         dispatch, how = outcome.dispatch, outcome.how
         operation, trial = dispatch.invocation.operation, self.agent.on_newest(dispatch.appliance)
-        times, slo_time = self.times[dispatch.appliance.kind], operation.slo_time     # in parts of SLO times
+        times = self.times.setdefault(dispatch.appliance.kind, Histogram(EDGES, 400))   # in parts of SLO times
+        slo_time = operation.slo_time
         too_long = SLOW_BY * times.edge(0.9) * slo_time / S if times.total >= 15 else inf
         if not trial and how == SUCCEEDED:
             times.add(outcome.took * S // slo_time)
@@ -129,21 +126,18 @@
 
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool, silent: bool = False) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
-        trial, health, trials = self.agent.on_newest(appliance), appliance.learned, len(self.agent.trial)
+        trial, trials = self.agent.on_newest(appliance), len(self.agent.trial)
         if trial and (failed or slow) and trials > 1:       # in a row a machine counts once, lest it be taken
             last, self.failing = self.failing, (appliance, now)     # for a bad build
             if appliance is last[0] and now - last[1] < 3 * S:
                 return
-        if failed and self.agent.stands_out(appliance):
-            return
         if not silent:
             self.add(operation, ERRORS, trial, failed)
             self.share(2, trial, failed, 1)
         # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a later jump
         spoilt = now - appliance.started < SKIP and appliance.started or self.agent.host.lag > STALL or (
             trial and trials == 1) or (self.agent.alone() and now - self.agent.stage_since > AFTER)
-        if not spoilt and now - health.sampled > APART:
-            health.sampled = now
+        if not spoilt:
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
             self.share(1, trial, slow, 1)
@@ -219,7 +213,6 @@
         self.places = sum(a.weight for a in (self.fleet if both else self.earlier)) or 1.0
 
     def on_tally(self, tally: Tally) -> None:
-        """The platform's own count joins the block like our own outcomes."""
         if self.judging() and tally.count:
             self.jury.add(tally.operation, SLOW, tally.build >= self.stage.build, tally.failures, tally.count)
             self.review()
@@ -236,10 +229,7 @@
     def on_message(self, sender: int, figures: list[int]) -> None:
         """Counts of what one agent sees too little: another's for the hub, or a sum with a 0 in front."""
         if len(figures) in (13, 14) and self.judging() and figures[-13] == self.stage.build:
-            if len(figures) == 13:
-                self.relay.merge(figures[1:])
-            else:
-                self.pool(figures[2:])
+            (self.relay.merge if len(figures) == 13 else self.pool)(figures[-12:])
 
     def pool(self, figures: list[int]) -> None:
         for kind, trial, count, failures in Ledger(figures).rows():
@@ -278,8 +268,7 @@
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
         if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
-        if how not in (SUCCEEDED, CANCELLED, MOOT) and now >= health.shut_until and (
-                health.silences > 3 or self.stands_out(appliance)):
+        if health.silences > 3 and now >= health.shut_until:
             health.strikes = min(health.strikes + 1, 4)
             health.shut_until = now + (S << health.strikes) // 2
             self.host.log(f"shut {appliance.ident}: {how}, strike {health.strikes}, silent {health.silences} "
@@ -312,15 +301,6 @@
         if answered:
             self.hear(appliance.learned, load, took)
 
-    def stands_out(self, appliance: Appliance) -> bool:
-        """Fails far more than its build's other appliances: then it is the machine and not the build."""
-        health = appliance.learned
-        if health.bad < 3 or health.bad_share() < 0.4:
-            return False
-        peers = [a.learned for a in self.fleet if a.build == appliance.build and a is not appliance]
-        bad, good = sum(p.bad for p in peers), sum(p.good for p in peers)
-        return bool(peers) and bad / (bad + good + 1) < health.bad_share() / 2
-
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
         """The cap of a build on trial; None for one that is not."""
@@ -351,8 +331,7 @@
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
             if self.credit >= 0:        # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
-            most = 1.0 if self.known["in_place"] else 2.0
-            self.credit += part * served * min(most, self.known["fall_multiple"] * COLD)
+            self.credit += part * served * min(2 - self.known["in_place"], self.known["fall_multiple"] * COLD)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -441,8 +420,7 @@
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold, self.relay = {}, Ledger(), Ledger()
             self.jury.failing, self.watch = (None, 0), self.chance.random()
-        kept = stage.build + (stage.phase != ON_TRIAL)
-        self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
+        self.bound_keys = {k: b for k, b in self.bound_keys.items() if b >= stage.build + (stage.phase != ON_TRIAL)}
         if old is None or stage.word != old.word:
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
             voters = max(known["vote_allowance"] * known["vote_life"] / S,
@@ -452,7 +430,6 @@
             self.stir()
 
     def tend(self, stage: Stage) -> None:
-        """Looks again from time to time for as long as this word of the platform stands."""
         if self.stage.word == stage.word:
             self.review()
             if self.judging() and self.known["may_message"]:
@@ -504,7 +481,6 @@
 
     # ---- invocations: holding, dispatching, the final answer ----------------------------------------------
     def stir(self) -> None:
-        """Something changed: the best held invocations look again."""
         room = max(0, min(int(self.limit - self.open + 1), 4))
         for inv in sorted(self.held, key=lambda i: (-i.operation.billed_value, i.taken))[:room]:
             self.host.wake(inv)
@@ -573,7 +549,6 @@
         return may
 
     def send(self, inv: Invocation, place: Appliance, patience: int, until: int) -> Dispatch:
-        """Books a dispatch that the gate has let through."""
         health, exposure = place.learned, self.exposures[inv.operation]
         self.open, health.open, health.load = self.open + 1, health.open + 1, health.load + 1
         self.credit -= self.warmth(place) < 1.0
