--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -12,7 +12,7 @@
 from math import inf, log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, NEVER_RAN, ON,
                         ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
                         Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Probe, Stage,
                         Steps, Tally, Terminate, Throttle, Wait)
@@ -54,8 +54,7 @@
     def gain(self) -> tuple[float, float]:
         """1/v and d/v of the open block; v takes the share that both sides would have if nothing differed."""
         shares, half = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)], self.half
-        if self.block == SLOW[0]:
-            shares[False] = max(shares[False], 0.1)         # one in ten is slow at best, by what slow means
+        shares[False] = max(shares[False], 0.1 * (self.block == SLOW[0]))   # by what slow means
         both = (sum(s * n for s, n in zip(shares, self.counts)) + half) / (sum(self.counts) + 2 * half)
         spread = both * (1 - both) * (1 / self.counts[False] + 1 / self.counts[True]) * (2 * half) ** 0.5
         return 1 / spread, (shares[True] - shares[False]) / spread
@@ -92,7 +91,7 @@
         if (operation, stream) not in self.judges:
             pooled = self.known["may_message"] and operation is None and stream != SLOW
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level)
-        self.judges[operation, stream].add(trial, failures, count, self.agent.alone())
+        self.judges[operation, stream].add(trial, failures, count, self.agent.alone)
 
     def worst(self) -> Judge:
         return max(self.judges.values(), key=Judge.margin, default=Judge(*SLOW, level=ALPHA))
@@ -109,8 +108,8 @@
     def weigh(self, outcome: Outcome) -> None:
         dispatch, how = outcome.dispatch, outcome.how
         operation, trial = dispatch.invocation.operation, self.agent.on_newest(dispatch.appliance)
-        times = self.times.setdefault(dispatch.appliance.kind, Histogram(EDGES, 400))   # in parts of SLO times
-        slo_time = operation.slo_time
+        slo_time = operation.slo_time       # times are in parts of it, so that operations pool
+        times = self.times.setdefault(dispatch.appliance.kind, Histogram(EDGES, 400))
         too_long = SLOW_BY * times.edge(0.9) * slo_time / S if times.total >= 15 else inf
         if not trial and how == SUCCEEDED:
             times.add(outcome.took * S // slo_time)
@@ -136,7 +135,7 @@
             self.share(2, trial, failed, 1)
         # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a later jump
         spoilt = now - appliance.started < SKIP and appliance.started or self.agent.host.lag > STALL or (
-            trial and trials == 1) or (self.agent.alone() and now - self.agent.stage_since > AFTER)
+            trial and trials == 1) or (self.agent.alone and now - self.agent.stage_since > AFTER)
         if not spoilt:
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
@@ -168,10 +167,8 @@
 
 
 class Agent(Memory):
-    """One instance: the news, health, the pick, the votes and the invocations."""
-
     def __init__(self, host: Host, known: Mapping[str, Any], chance: random.Random) -> None:
-        super().__init__(host, known, chance, spare_retries=10.0, watch=chance.random())
+        super().__init__(host, known, chance, spare_retries=10.0)
         self.credit, self.jury = chance.random() - 1, Jury(self)
         whole, apart = Exposure(known), known["per_operation"]
         self.exposures = {operation: Exposure(known) if apart else whole for operation in known["operations"]}
@@ -210,17 +207,16 @@
         for appliance in self.fleet:
             (self.earlier if self.cap_of(appliance) is None else self.trial).append(appliance)
         both = not self.earlier or self.known["in_place"] or (self.stage and self.stage.phase != ON_TRIAL)
+        self.alone = self.stage is None or not any(a.build < self.stage.build for a in self.earlier)
         self.places = sum(a.weight for a in (self.fleet if both else self.earlier)) or 1.0
 
     def on_tally(self, tally: Tally) -> None:
         if self.judging() and tally.count:
             self.jury.add(tally.operation, SLOW, tally.build >= self.stage.build, tally.failures, tally.count)
-            self.review()
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         if self.judging():
             self.jury.share(0, self.on_newest(appliance), 1, 0)
-            self.review()
 
     def hub(self) -> int:
         """Who adds up the counts at present: messages grow evenly with the agents."""
@@ -247,15 +243,12 @@
             self.host.message(None, [0, self.stage.build, *figures])
             self.pool(figures)
 
-    def alone(self) -> bool:
-        return self.stage is None or not any(a.build < self.stage.build for a in self.earlier)
-
     def on_newest(self, appliance: Appliance) -> bool:
         return self.stage is not None and appliance.build == self.stage.build
 
     def judging(self) -> bool:
         phase = self.stage.phase if self.stage else None
-        return phase == RELEASED or (phase == ON_TRIAL and not self.alone())
+        return phase == RELEASED or (phase == ON_TRIAL and not self.alone)
 
     # ---- health: every outcome passes here first -----------------------------------------------------------
     def observe(self, outcome: Outcome) -> None:
@@ -271,8 +264,7 @@
         if health.silences > 3 and now >= health.shut_until:
             health.strikes = min(health.strikes + 1, 4)
             health.shut_until = now + (S << health.strikes) // 2
-            self.host.log(f"shut {appliance.ident}: {how}, strike {health.strikes}, silent {health.silences} "
-                          f"bad {health.bad:.0f}, good {health.good:.0f}")
+            self.host.log(f"shut {appliance.ident}: {how}, strike {health.strikes}, silent {health.silences}")
         self.jury.weigh(outcome)
         if self.jury.worst().margin() > 0:
             self.review()
@@ -320,9 +312,9 @@
         return ramp + (1 - ramp) * self.known["cold_share"]
 
     def warm_up(self) -> None:
-        """Guards cold ones against the sum of all agents: an invocation taken earns their even part of it, cut
-        to what is warm and to what succeeds; whole dispatches come of it in time."""
-        self.asked, self.taken = self.asked + 1, self.taken + 1
+        """Guards cold ones against the sum of all agents: an invocation taken earns their even part of it,
+        cut to what is warm and to what succeeds; whole dispatches come of it in time."""
+        self.asked += 1
         if self.asked > 40:
             self.asked, self.answered = self.asked / 2, self.answered / 2
         if self.cold:
@@ -348,8 +340,9 @@
     def may_go(self, inv: Invocation, appliance: Appliance) -> bool:
         """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, keys."""
         health, stage = appliance.learned, self.stage
-        if appliance.state != READY or health.shut_until > self.host.now or (health.strikes and health.open) or (
-                not self.may_repeat(inv, appliance) or (self.credit < 0 and self.warmth(appliance) < 1.0)):
+        shut = health.shut_until > self.host.now or (health.strikes and health.open)
+        if appliance.state != READY or shut or (self.credit < 0 and self.warmth(appliance) < 1.0) or (
+                not self.may_repeat(inv, appliance)):
             return False
         cap = self.cap_of(appliance)
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
@@ -382,14 +375,6 @@
             found = self.chance.sample(found, min(2, len(found)))
         return found
 
-    def watches(self) -> bool:
-        """Where the free number lets all send far more than their part, few send all they may: thin evidence
-        spread over all would be held by none."""
-        part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
-        share = part / min(1.0, max(self.stage.cap, 0.01) + self.known["free"] / max(self.pace, 0.5))
-        few = share < 0.5 and share * self.known["agents"] >= 8
-        return self.watch < share if few else self.chance.random() < part
-
     def pick(self, inv: Invocation) -> list[Appliance]:
         """The trial gets its machines' part, to be judged at full load before its release. Repeats go to the
         earlier build, unless the key must stay."""
@@ -397,7 +382,8 @@
         fair = self.stage and self.stage.phase == ON_TRIAL and not (self.vote and self.vote[2] == BACK)
         if not tried and self.cold and self.credit >= 0:
             sides.insert(0, [a for a in self.cold if fair or self.cap_of(a) is None])
-        elif not tried and fair and self.trial and self.watches():
+        elif not tried and fair and self.chance.random() * self.places < sum(
+                a.weight for a in self.trial if self.warmth(a) >= 1.0):
             sides.reverse()
         choices = (self.draw(inv, side, skip) for skip in ((tried, []) if tried else ([],)) for side in sides)
         return next(filter(None, choices), [])
@@ -412,15 +398,14 @@
     def on_stage(self, stage: Stage) -> None:
         old, known = self.stage, self.known
         if stage.answer not in (None, "ok"):        # a refused vote brings no news, whatever its fields say
-            if stage.answer != "moot":
-                self.recast(self.vote)
-            return
+            return self.recast(self.vote)
         self.stage = stage
         self.regroup()
         if old is None or stage.build != old.build:
             self.jury.judges, self.jury.untold, self.relay = {}, Ledger(), Ledger()
-            self.jury.failing, self.watch = (None, 0), self.chance.random()
-        self.bound_keys = {k: b for k, b in self.bound_keys.items() if b >= stage.build + (stage.phase != ON_TRIAL)}
+            self.jury.failing = (None, 0)
+        kept = stage.build + (stage.phase != ON_TRIAL)
+        self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or stage.word != old.word:
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
             voters = max(known["vote_allowance"] * known["vote_life"] / S,
@@ -434,27 +419,25 @@
             self.review()
             if self.judging() and self.known["may_message"]:
                 self.tell()
-            self.pace, self.taken = self.pace + (self.taken * self.known["window"] / LOOK - self.pace) / 8, 0
             self.host.at(self.host.now + LOOK, lambda: self.tend(stage))
 
     def review(self) -> None:
-        stage, now, worst = self.stage, self.host.now, self.jury.worst()
+        stage, now, worst, known = self.stage, self.host.now, self.jury.worst(), self.known
         if stage.phase not in (ON_TRIAL, RELEASED) or not self.votes:
             return
         if worst.margin() > 0:
             self.plan(BACK)
         elif stage.phase == ON_TRIAL:
-            starts = [a.started for a in self.trial]
-            places = self.fleet if self.known["in_place"] else self.earlier
-            newest, due = max(starts, default=0), self.known["shares"][stage.number] * len(places) - 1e-6
-            if newest < self.stage_since or len(starts) < due:      # this stage's machines are not listed yet
-                newest = self.stage_since + 8 * S
+            newest = max((a.started for a in self.trial), default=0)
+            places = len(self.fleet if self.known["in_place"] else self.earlier)
+            if newest < self.stage_since or len(self.trial) < known["shares"][stage.number] * places - 1e-6:
+                newest = self.stage_since + 8 * S           # not all of its machines are listed yet
             undecided = worst.log_ratio() > log(HOLD_ABOVE)
             self.undecided_since = self.undecided_since or (now if undecided else 0)
             held = undecided and now - self.undecided_since < HOLD_MOST
-            if held and self.known["control"] == "timer":
+            if held and known["control"] == "timer":
                 self.plan(HOLD)
-            elif not held and self.known["control"] != "timer" and now >= newest + ON_AFTER:
+            elif not held and known["control"] != "timer" and now >= newest + ON_AFTER:
                 self.plan(ON)
 
     def plan(self, verdict: str) -> None:
@@ -520,9 +503,8 @@
                 elif not known["may_duplicate"] and not inv.dispatches:
                     patience = (useful - host.now) * 9 // 10
             yield self.send(inv, min(pair, key=self.busy), patience, second_at)
-            while not inv.concluded and (inv.streaming or any(d.ended is None for d in inv.dispatches)):
-                if host.now >= end and not inv.streaming:
-                    break
+            while not inv.concluded and (inv.streaming or (
+                    host.now < end and any(d.ended is None for d in inv.dispatches))):
                 if host.now < second_at or inv.streaming:
                     yield Wait(second_at if host.now < second_at else None)
                     continue
@@ -558,7 +540,8 @@
 
     def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
-        everywhere = {IDEMPOTENT} | ({FINGERPRINTED} if inv.operation.group == "all" else set())
-        harmless = inv.operation.effect in everywhere or all(d.ended in NEVER_RAN for d in inv.dispatches)
+        effect, everywhere = inv.operation.effect, inv.operation.group == "all"
+        harmless = effect == IDEMPOTENT or (effect == FINGERPRINTED and everywhere) or all(
+            d.ended in NEVER_RAN for d in inv.dispatches)
         advice = min(self.known["max_advice"], S) if self.known["may_advise"] else 0
         return Throttle(advice) if harmless else Terminate()
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -85,7 +85,6 @@
     shut_until: int = 0
     strikes: int = 0
     silences: int = 0               # silent ends since its last answer
-    sampled: int = 0                # when its slowness was last taken as evidence
     load: float = 0.0               # as reported, with own dispatches since
     load_at: int = 0
     heard: int = 0                  # when it last answered
@@ -119,6 +118,7 @@
     trial: list[Appliance] = field(default_factory=list)        # of them: builds on trial
     earlier: list[Appliance] = field(default_factory=list)      # the others
     cold: list[Appliance] = field(default_factory=list)
+    alone: bool = True              # no machine of an earlier build is left
     places: float = 1.0             # weight of the machines that bear the usual traffic
     stage: Stage | None = None
     stage_since: int = 0
@@ -134,9 +134,6 @@
     crawling: bool = False          # the latest answer was slow
     spare_retries: float = 0.0
     probes_answered: float = 1.0    # share of the latest
-    watch: float = 0.0              # this instance's lot among watchers of a trial
-    pace: float = 0.0               # invocations taken in an exposure window
-    taken: int = 0                  # since last looked
     credit: float = 0.0             # dispatches earned at cold machines
     asked: float = 0.0              # invocations taken, and succeeded; halved now and then
     answered: float = 0.0
