v takes the common share of all blocks, so good blocks do not outweigh bad ones

A and S now keep the counts' part and v the share of all blocks so far; the earlier side of large blocks, and after a release, is not halved. It also guards builds that turn bad late. Harm: one that was bad and recovers is held bad longer.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -26,7 +26,7 @@
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
-LOOK, STALL, STALE = 800 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
+LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
@@ -42,32 +42,36 @@
         self.counts[trial], self.failures[trial] = self.counts[trial] + count, self.failures[trial] + failures
         if alone and self.counts[False] < EARLIER_BLOCK:
             self.counts[False], self.failures[False] = self.kept
-        if self.counts[False] > 5 * max(self.counts[True], 8):      # of late only: guards against jams
+        most = 5 * max(self.counts[True], self.block if self.block > SLOW[0] else ERRORS[0])
+        if self.counts[False] > most and not alone:         # of late only: guards against jams
             self.counts[False], self.failures[False] = self.counts[False] / 2, self.failures[False] / 2
         if self.counts[True] >= self.block and self.counts[False] >= EARLIER_BLOCK:
-            precision, weighted = self.gain()
-            self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
             # blocks fade: guards against a build that turns bad late, or only once it bears the full load
-            self.precision, self.weighted = self.precision * FADE + precision, self.weighted * FADE + weighted
+            self.totals = [old * FADE + new for old, new in zip(self.totals, self.gain())]
+            self.kept, self.blocks = (self.counts[False], self.failures[False]), self.blocks + 1
             self.counts, self.failures = [0, 0], [0.0, 0.0]
 
-    def gain(self) -> tuple[float, float]:
-        """1/v and d/v of the open block; v takes the share that both sides would have if nothing differed."""
-        shares, half = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)], self.half
+    def gain(self) -> list[float]:
+        """Of the open block: 1/v and d/v, but for the share that v takes; and all outcomes and failures."""
+        shares = [min(1.0, failed / n) for failed, n in zip(self.failures, self.counts)]
         shares[False] = max(shares[False], 0.1 * (self.block == SLOW[0]))   # by what slow means
-        both = (sum(s * n for s, n in zip(shares, self.counts)) + half) / (sum(self.counts) + 2 * half)
-        spread = both * (1 - both) * (1 / self.counts[False] + 1 / self.counts[True]) * (2 * half) ** 0.5
-        return 1 / spread, (shares[True] - shares[False]) / spread
+        weight = 1 / (1 / self.counts[False] + 1 / self.counts[True])
+        failures = sum(share * n for share, n in zip(shares, self.counts))
+        return [weight, weight * (shares[True] - shares[False]), sum(self.counts), failures]
 
     def log_ratio(self) -> float:
-        """ln L. An open block counts from two failures on: with little traffic none ever fills."""
-        precision, weighted = self.precision, self.weighted
+        """ln L. An open block counts from two failures on: with little traffic none ever fills. v takes the
+        share that both sides would have if nothing differed, of all blocks, lest good ones outweigh bad ones."""
+        totals = self.totals
         if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > 3 * self.half:
-            precision, weighted = (old + new for old, new in zip((precision, weighted), self.gain()))
+            totals = [old + new for old, new in zip(totals, self.gain())]
+        precision, weighted, count, failures = totals
         if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[0][0]):       # a jam fills one
             return 0.0
-        grown = 1 + self.width ** 2 * precision
-        return self.width ** 2 * weighted ** 2 / (2 * grown) - log(grown) / 2
+        both = (failures + self.half) / (count + 2 * self.half)
+        spread = both * (1 - both) * (2 * self.half) ** 0.5
+        grown = 1 + self.width ** 2 * precision / spread
+        return self.width ** 2 * (weighted / spread) ** 2 / (2 * grown) - log(grown) / 2
 
     def margin(self) -> float:
         return self.log_ratio() + log(self.level)           # above 0: 'back' stands
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -36,8 +36,7 @@
     width: float
     half: float = 0.5               # half a failure, as this stream counts
     level: float = 0.0              # of an error by this agent alone
-    precision: float = 0.0          # A and S of the design page
-    weighted: float = 0.0
+    totals: list[float] = field(default_factory=lambda: [0.0] * 4)          # A, S, outcomes, failures
     blocks: int = 0                 # closed ones
     counts: list[float] = field(default_factory=lambda: [0, 0])             # of the open one: earlier, trial
     failures: list[float] = field(default_factory=lambda: [0.0, 0.0])
