--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -61,7 +61,7 @@
 
     def log_ratio(self) -> float:
         """ln L. An open block counts from two failures on: with little traffic none ever fills. v takes the
-        share that both sides would have if nothing differed, of all blocks, lest good ones outweigh bad ones."""
+        share that both sides would have in common, of all blocks, lest good ones outweigh bad ones."""
         totals = self.totals
         if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > 3 * self.half:
             totals = [old + new for old, new in zip(totals, self.gain())]
@@ -78,14 +78,11 @@
 
 
 class Jury:
-    """All streams on the newest build; the one with the most to say decides."""
-
     def __init__(self, agent: Agent) -> None:
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
         self.times: dict[str, Histogram] = {}
-        self.untold = Ledger()                  # kinds: reports, slowness, errors
-        self.failing: tuple = (None, 0)         # of the trial, the last to fail or to be slow, and when
+        self.untold, self.failing = Ledger(), (None, 0)     # the latter: last of the trial to fail, and when
         # guards against one of very many being wrong: the more may vote and the fewer are needed, the smaller
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
         self.level = min(ALPHA, max(ALPHA * needed, needed - 2 * needed ** 0.5) / agents ** 0.5)
@@ -112,8 +109,8 @@
     def weigh(self, outcome: Outcome) -> None:
         dispatch, how = outcome.dispatch, outcome.how
         operation, trial = dispatch.invocation.operation, self.agent.on_newest(dispatch.appliance)
-        slo_time = operation.slo_time       # times are in parts of it, so that operations pool
         times = self.times.setdefault(dispatch.appliance.kind, Histogram(EDGES, 400))
+        slo_time = operation.slo_time       # times are in parts of it, so that operations pool
         too_long = SLOW_BY * times.edge(0.9) * slo_time / S if times.total >= 15 else inf
         if not trial and how == SUCCEEDED:
             times.add(outcome.took * S // slo_time)
@@ -124,17 +121,16 @@
                 self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
         if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
-            slow = how != SUCCEEDED or outcome.took > too_long
-            self.judged(dispatch, how in (ERROR, RESET), slow, how == TIMEOUT)
+            self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
 
-    def judged(self, dispatch: Dispatch, failed: bool, slow: bool, silent: bool = False) -> None:
+    def judged(self, dispatch: Dispatch, failed: bool, slow: bool) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
         trial, trials = self.agent.on_newest(appliance), len(self.agent.trial)
-        if trial and (failed or slow) and trials > 1:       # in a row a machine counts once, lest it be taken
-            last, self.failing = self.failing, (appliance, now)     # for a bad build
-            if appliance is last[0] and now - last[1] < 3 * S:
+        if trial and (failed or slow) and trials > 1:       # in a row a machine counts once in 3 s, lest it
+            if appliance is self.failing[0] and now - self.failing[1] < 3 * S:      # be taken for a bad build
                 return
-        if not silent:
+            self.failing = (appliance, now)
+        if dispatch.ended != TIMEOUT:
             self.add(operation, ERRORS, trial, failed)
             self.share(2, trial, failed, 1)
         # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a later jump
@@ -162,7 +158,6 @@
             send[1] = self.taken
 
     def room(self, now: int, cap: float) -> bool:
-        """May one more go? Any span can begin at an earlier send, so each of them is looked at."""
         while self.sends and self.sends[0][0] < now - self.window:
             self.sends.popleft()
         count = len(self.sends) + 1
@@ -185,8 +180,7 @@
 
     # ---- the news ----
     def keep_asking(self) -> None:
-        """Until a subscription stands, ask again; well before not asking counts as having been told."""
-        if not self.subscribed:
+        if not self.subscribed:             # well before not asking counts as having been told
             self.host.subscribe()
             self.host.at(self.host.now + self.some(2 * S), self.keep_asking)
 
@@ -242,8 +236,7 @@
             self.relay.merge(self.jury.untold.take())
         elif self.jury.untold.of_trial():
             self.host.message(self.hub(), [self.stage.build, *self.jury.untold.take()])
-        if any(self.relay.figures):
-            figures = self.relay.take()
+        if any(figures := self.relay.take()):
             self.host.message(None, [0, self.stage.build, *figures])
             self.pool(figures)
 
@@ -251,8 +244,7 @@
         return self.stage is not None and appliance.build == self.stage.build
 
     def judging(self) -> bool:
-        phase = self.stage.phase if self.stage else None
-        return phase == RELEASED or (phase == ON_TRIAL and not self.alone)
+        return self.stage is not None and self.stage.phase in (RELEASED, *([] if self.alone else [ON_TRIAL]))
 
     # ---- health: every outcome passes here first -----------------------------------------------------------
     def observe(self, outcome: Outcome) -> None:
@@ -285,7 +277,6 @@
         self.stir()
 
     def hear(self, health: Notes, load: Mapping | None, took: int = 0) -> None:
-        """An answer: its report of what the machine holds or how busy it is; without one, a probe's time."""
         health.heard = self.host.now
         if load or took:
             load = load or {"inflight": took / (50 * MS)}
@@ -310,7 +301,6 @@
         return stage.cap        # on the way back it falls to 0 only when earlier machines are there
 
     def warmth(self, appliance: Appliance) -> float:
-        """The share of its capacity that a started appliance has at least."""
         age, warm_time = max(0, self.host.now - appliance.started), self.known["warm_time"]
         ramp = age / warm_time if appliance.started and age < warm_time else 1.0
         return ramp + (1 - ramp) * self.known["cold_share"]
@@ -455,9 +445,8 @@
     def cast(self, vote: tuple) -> None:
         if vote == self.vote:
             worst = self.jury.worst()
-            if vote[2] != ON or worst.log_ratio() > 0:
-                self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: "
-                              f"ln L {worst.log_ratio():.2f}, {worst}")
+            if (ratio := worst.log_ratio()) > 0 or vote[2] != ON:
+                self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: ln L {ratio:.2f}, {worst}")
             self.host.vote(*vote)
             self.host.at(self.host.now + self.known["vote_life"], lambda: self.recast(vote))
 
@@ -547,5 +536,5 @@
         effect, everywhere = inv.operation.effect, inv.operation.group == "all"
         harmless = effect == IDEMPOTENT or (effect == FINGERPRINTED and everywhere) or all(
             d.ended in NEVER_RAN for d in inv.dispatches)
-        advice = min(self.known["max_advice"], S) if self.known["may_advise"] else 0
+        advice = min(self.known["max_advice"], S) * self.known["may_advise"]
         return Throttle(advice) if harmless else Terminate()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -70,7 +70,7 @@
         self.say("fetch list")
 
     def probe(self, appliance: Appliance) -> None:
-        self.say(f"probe {appliance.ident}")
+        self.engine.at(self.engine.now + MS, lambda: self.engine.probed(appliance, True, MS, None))
 
     def message(self, to: int | None, figures: list[int]) -> None:
         self.say(f"message {figures}")
