--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -317,7 +317,7 @@
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
             if self.credit >= 0:        # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
-            self.credit += part * served * min(2 - self.known["in_place"], self.known["fall_multiple"] * COLD)
+            self.credit += part * served * min(2 - 0.5 * self.known["in_place"], self.known["fall_multiple"] * COLD)
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -402,6 +402,7 @@
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
         if old is None or stage.word != old.word:
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
+            self.due = known["shares"][stage.number] * len(self.fleet if known["in_place"] else self.earlier)
             voters = max(known["vote_allowance"] * known["vote_life"] / S,
                          known["on_votes"] if known["control"] == "share" else 0)
             self.votes = self.chance.random() < voters / known["agents"]
@@ -423,8 +424,7 @@
             self.plan(BACK)
         elif stage.phase == ON_TRIAL:
             newest = max((a.started for a in self.trial), default=0)
-            places = len(self.fleet if self.known["in_place"] else self.earlier)
-            if newest < self.stage_since or len(self.trial) < known["shares"][stage.number] * places - 1e-6:
+            if newest < self.stage_since or len(self.trial) < self.due - 1e-6:
                 newest = self.stage_since + 8 * S           # not all of its machines are listed yet
             undecided = worst.log_ratio() > log(HOLD_ABOVE)
             self.undecided_since = self.undecided_since or (now if undecided else 0)
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -121,6 +121,7 @@
     places: float = 1.0             # weight of the machines that bear the usual traffic
     stage: Stage | None = None
     stage_since: int = 0
+    due: float = 0.0                # machines that the stage is to have
     undecided_since: int = 0        # when evidence was first undecided in this stage
     vote: tuple | None = None       # build, stage, verdict: standing or about to be cast
     votes: bool = False             # this instance is one of the voters of the stage
