A zone that gives no connection is drawn less often

Cause: across a slow or cut link a sixth to a third of all dispatches found no connection, and each agent tried on. The share of late dispatches to a zone without connection now keeps it from being drawn, up to nine times in ten. It guards against a hall that is gone as well. Harm: one zone's dead machines keep its live ones from a few dispatches.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -216,8 +216,7 @@
         if self.judging():
             self.jury.share(0, self.on_newest(appliance), 1, 0)
 
-    def hub(self) -> int:
-        """Who adds up the counts at present: messages grow evenly with the agents."""
+    def hub(self) -> int:       # who adds up the counts at present: messages grow evenly with the agents
         return (self.stage.build * 31 + self.host.now // (2 * S)) % self.known["agents"]
 
     def on_message(self, sender: int, figures: list[int]) -> None:
@@ -252,6 +251,7 @@
         appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open, self.answered = self.open - 1, self.answered + (how == SUCCEEDED)
         health.note(how, 16)
+        self.links[appliance.zone] = (self.links.get(appliance.zone, 0.0) * 7 + (how == UNCONNECTED)) / 8
         if how == SUCCEEDED:
             self.hear(health, outcome.load)
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
@@ -290,8 +290,7 @@
 
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
-        """The cap of a build on trial; None for one that is not."""
-        stage = self.stage
+        stage = self.stage      # the cap of a build on trial; None for one that is not
         if stage is None:
             return None if appliance.build <= min((a.build for a in self.fleet), default=0) else 0.0
         if appliance.build > stage.build:
@@ -310,14 +309,15 @@
         cut to what is warm and to what succeeds; whole dispatches come of it in time."""
         self.asked += 1
         if self.asked > 40:
-            self.asked, self.answered = self.asked / 2, self.answered / 2
+            self.asked, self.answered = 20.0, self.answered / 2
         if self.cold:
             self.cold = [a for a in self.cold if a.state == READY and self.warmth(a) < 1.0]
             part = sum(a.weight * self.warmth(a) for a in self.cold) / self.places
             served = min(1.0, (self.answered + 2) / (self.asked + 2))
             if self.credit >= 0:        # not spent at once: lapses, or all agents would save up for a burst
                 self.credit = self.chance.random() - 1
-            self.credit += part * served * min(2 - 0.5 * self.known["in_place"], self.known["fall_multiple"] * COLD)
+            most = min(2 - 0.5 * self.known["in_place"], self.known["fall_multiple"] * COLD)
+            self.credit += part * served * most
 
     def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
@@ -356,12 +356,12 @@
     def fits(self, inv: Invocation, appliance: Appliance, tried: list[Appliance]) -> bool:
         health = appliance.learned          # silent to its latest probe while most are answered: seldom tried
         mute = health.heard < health.probed < self.host.now - 100 * MS and (
-            self.chance.random() < min(0.9, self.probes_answered))
+            self.chance.random() < min(0.9, self.probes_answered)) or (     # nor over a link that breaks off
+            self.chance.random() < min(0.9, 2 * self.links.get(appliance.zone, 0.0)))
         return appliance not in tried and not mute and self.may_go(inv, appliance)
 
     def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> list[Appliance]:
-        """Two random ones that fit; the whole side is looked at only when draws find none."""
-        found: list[Appliance] = []
+        found: list[Appliance] = []         # two random ones; the whole side is looked at only if none fits
         for appliance in self.chance.sample(side, min(8, len(side))):
             if len(found) < 2 and self.fits(inv, appliance, tried):
                 found.append(appliance)
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -133,6 +133,7 @@
     limit: float = 0.0              # and their bound
     crawling: bool = False          # the latest answer was slow
     spare_retries: float = 0.0
+    links: dict[str, float] = field(default_factory=dict)       # zone -> share that got no connection of late
     probes_answered: float = 1.0    # share of the latest
     credit: float = 0.0             # dispatches earned at cold machines
     asked: float = 0.0              # invocations taken, and succeeded; halved now and then
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,7 +41,7 @@
         if not self.quiet:
             self.say(f"dispatch {dispatch.invocation.ident} to {dispatch.appliance.ident}")
 
-    quiet = False
+    quiet, silent = False, ()
 
     def cancel(self, dispatch: Dispatch) -> None:
         self.say(f"cancel {dispatch.invocation.ident} at {dispatch.appliance.ident}")
@@ -70,7 +70,8 @@
         self.say("fetch list")
 
     def probe(self, appliance: Appliance) -> None:
-        self.engine.at(self.engine.now + MS, lambda: self.engine.probed(appliance, True, MS, None))
+        answered = appliance.ident not in self.silent
+        self.engine.at(self.engine.now + MS, lambda: self.engine.probed(appliance, answered, MS, None))
 
     def message(self, to: int | None, figures: list[int]) -> None:
         self.say(f"message {figures}")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,5 @@
 """Short printed traces of decisions; each is kept in traces/ and read by people."""
-from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT, Tally
+from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT, UNCONNECTED, Tally
 from helpers import DRAINING, MS, S, Scene
 
 EARLIER, TRIAL = [f"old{n}" for n in range(8)], ["new0", "new1"]
@@ -194,6 +194,33 @@
     assert 0 < sent.count("cold") < len(sent) / 7
 
 
+def test_of_a_probed_pair_the_one_that_answers_is_taken():
+    """Guards against a machine that stands still or is gone while the list still names it; none is shut for it."""
+    scene = Scene()
+    scene.silent = ("a0",)
+    scene.list("a0", "a1")
+    scene.released()
+    for _ in range(20):
+        scene.pass_to(scene.engine.now + 2 * S)
+        scene.take(scene.draw)
+        scene.pass_to(scene.engine.now + 200 * MS)
+        while scene.out:
+            scene.lines.append(scene.out[0].appliance.ident)
+            scene.end(scene.out[0])
+    assert scene.lines.count("a1") > 15 and not any("shut" in line for line in scene.lines)
+
+
+def test_zone_without_connection_is_drawn_less_often():
+    """Guards against a link between zones that is slow or cut."""
+    scene = Scene()
+    scene.list("a0", "a1", "a2")
+    scene.list("b0", "b1", "b2", zone="b")
+    scene.released()
+    sent = []
+    scene.traffic(4 * S, lambda d: sent.append(d.appliance.zone) or (UNCONNECTED if d.appliance.zone == "b" else "succeeded"))
+    assert sent[50:].count("b") < len(sent[50:]) / 8
+
+
 def test_answer_comes_in_time():
     scene = Scene()
     scene.list("a0")
