--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -139,7 +139,7 @@
         if not spoilt:
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
-            self.share(1, trial, slow and not self.agent.alone, not self.agent.alone)     # of both builds only
+            self.share(1, trial, slow and not self.agent.alone, not self.agent.alone)  # in pairs
 
 
 # ---- exposure: dispatches at builds on trial ----------------------------------------------------------
