--- a/cartweir/drill/adapter.py
+++ b/cartweir/drill/adapter.py
@@ -96,8 +96,8 @@
     return known
 
 
-def _load(row: dict[str, Any]) -> dict[str, float]:
-    return {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS}
+def _load(row: dict[str, Any]) -> dict[str, float] | None:
+    return {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS} or None
 
 
 class Seat:
@@ -196,7 +196,7 @@
         if inv is None or not 0 <= shot < len(inv.dispatches) or inv.dispatches[shot].ended:
             return
         self.engine.outcome(Outcome(inv.dispatches[shot], OUTCOMES.get(row["verdict"], ours.ERROR),
-                                    row.get("rtt", 0), row.get("complete", False), _load(row) or None))
+                                    row.get("rtt", 0), row.get("complete", False), _load(row)))
         self._forget(inv)
 
     def expired(self, row: dict[str, Any]) -> None:
@@ -242,7 +242,7 @@
                 agent.on_message(row["who"], [int(field) for field in fields if field.isdigit()])
             case "SAMPLED":
                 if appliance is not None:
-                    self.engine.probed(appliance, row["verdict"] == 200, row.get("rtt", 0), _load(row) or None)
+                    self.engine.probed(appliance, row["verdict"] == 200, row.get("rtt", 0), _load(row))
             case "UNDER_WAY":
                 inv = self.invocations.get(row["requestId"])
                 if inv is not None:
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -243,7 +243,7 @@
         return self.stage is not None and appliance.build == self.stage.build
 
     def judging(self) -> bool:
-        return self.stage is not None and self.stage.phase in (RELEASED, *([] if self.alone else [ON_TRIAL]))
+        return bool(self.stage) and self.stage.phase in ((RELEASED,) if self.alone else (RELEASED, ON_TRIAL))
 
     # ---- health: every outcome passes here first -----------------------------------------------------------
     def observe(self, outcome: Outcome) -> None:
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -7,7 +7,8 @@
 from itertools import accumulate
 from typing import Any
 
-from .interface import CANCELLED, ERROR, FULL, MOOT, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Invocation, Stage
+from .interface import (CANCELLED, ERROR, FULL, MOOT, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED, Appliance, Invocation,
+                        Stage)
 
 
 class Histogram:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -217,7 +217,12 @@
     scene.list("b0", "b1", "b2", zone="b")
     scene.released()
     sent = []
-    scene.traffic(4 * S, lambda d: sent.append(d.appliance.zone) or (UNCONNECTED if d.appliance.zone == "b" else "succeeded"))
+
+    def how(dispatch):
+        sent.append(dispatch.appliance.zone)
+        return UNCONNECTED if dispatch.appliance.zone == "b" else "succeeded"
+
+    scene.traffic(4 * S, how)
     assert sent[50:].count("b") < len(sent[50:]) / 8
 
 
