--- /dev/null
+++ b/cartweir/agent/front.py
@@ -0,0 +1,294 @@
+"""The clients' side: accepts connections, makes a whole call into an invocation, gives it its one answer."""
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from h2.errors import ErrorCodes
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+
+from ..interface import Invocation, Operation
+from ..wire import grpc
+from ..wire.grpc import BodyWalk, Headers, Malformed, Status
+from ..wire.link import Link, Tap, split_address
+from ..wire.session import Limits, Stream
+from . import names
+from .clock import Clock
+from .seat import Seat
+
+Note = Callable[..., None]
+
+
+class Bounds:
+    """Of the front: sizes in bytes, times in microseconds."""
+
+    def __init__(self, connections: int, streams: int, window: int, message: int, header_list: int) -> None:
+        self.connections, self.message = connections, message
+        self.limits = Limits(streams, window, header_list)
+
+
+class Front:
+    """Listens on one address. `aside`: handlers of our own methods (peers' messages), by path, each called with
+    the message; its answer is empty."""
+
+    def __init__(self, seat: Seat, methods: Mapping[bytes, Operation], bounds: Bounds, clock: Clock, note: Note,
+                 aside: Mapping[bytes, Callable[[bytes], None]], tap: Tap | None = None) -> None:
+        self.seat, self.methods, self.bounds, self.clock, self.note = seat, methods, bounds, clock, note
+        self.aside, self.tap = aside, tap
+        self.links: set[Link] = set()
+        self.draining = False
+        self._sockets: list[socket.socket] = []
+        self._loop = IOLoop.current()
+        self._short = False                 # of file descriptors
+        self._over = False                  # the bound on connections
+
+    # ---- listening ----
+    def listen(self, address: str) -> str:
+        """Returns the address with the port it got. Raises OSError."""
+        host, port = split_address(address)
+        self._sockets = bind_sockets(port, host, backlog=1024)
+        for sock in self._sockets:
+            self._loop.add_handler(sock, self._accept, IOLoop.READ)
+        return f"{host}:{self._sockets[0].getsockname()[1]}"
+
+    def _accept(self, sock: socket.socket, events: int) -> None:
+        for _ in range(64):                 # a turn is shared with those that are connected
+            try:
+                connection, _ = sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    raise
+                self._rest(sock, error)
+                return
+            self._accepted(connection)
+
+    def _rest(self, sock: socket.socket, error: OSError) -> None:
+        """Nothing can be accepted: clients wait in the socket's queue until there may be room, instead of the loop
+        being woken for them without end."""
+        if not self._short:
+            self._short = True
+            self.note("accept_short", level="error", reason=error.strerror, connections=len(self.links),
+                      due="a higher limit on open files (ulimit -n), or fewer connections")
+        self._loop.remove_handler(sock)
+        self._loop.call_later(self.clock.heartbeat / 1e6, self._again, sock)
+
+    def _again(self, sock: socket.socket) -> None:
+        if sock in self._sockets:
+            self._loop.add_handler(sock, self._accept, IOLoop.READ)
+
+    def _accepted(self, connection: socket.socket) -> None:
+        if len(self.links) >= self.bounds.connections:
+            if not self._over:
+                self._over = True
+                self.note("connections_full", level="warning", connections=len(self.links))
+            connection.close()
+            return
+        if self._short:
+            self._short = False
+            self.note("accept_again", connections=len(self.links))
+        owner = ClientLink(self)
+        owner.link = Link(IOStream(connection, max_buffer_size=256 * 1024), False, self.bounds.limits, owner, self.tap)
+        self.links.add(owner.link)
+
+    def lost(self, link: Link, why: str) -> None:
+        self.links.discard(link)
+        self._over = self._over and len(self.links) >= self.bounds.connections
+        self.note("client_lost", level="debug", client=link.theirs, why=why)
+
+    # ---- the end ----
+    def drain(self) -> None:
+        """Accept nothing more; calls that are not whole yet, or come now, are refused unseen."""
+        self.draining = True
+        for sock in self._sockets:
+            try:
+                self._loop.remove_handler(sock)
+            except (KeyError, ValueError, OSError):
+                pass
+            sock.close()
+        self._sockets = []
+        for link in self.links:
+            link.session.say_closing()
+
+    def close(self) -> None:
+        for link in list(self.links):
+            link.close("agent ends")
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that have not reached their sockets."""
+        return sum(link.unsent + sum(s.queued for s in link.session.streams.values()) for link in self.links)
+
+
+class ClientLink:
+    """Owner of one client's link."""
+
+    link: Link
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    def on_stream(self, stream: Stream, headers: Headers) -> ClientCall:
+        return ClientCall(self.front, stream, headers)
+
+    def on_settled(self) -> None: ...
+    def on_closing(self, code: int) -> None: ...
+
+    def on_lost(self, link: Link, why: str) -> None:
+        self.front.lost(link, why)
+
+
+class ClientCall:
+    """One call of a client, from its headers to its one answer."""
+
+    __slots__ = ("front", "stream", "asked", "arrived", "body", "walk", "inv", "source", "_answered", "_late")
+
+    def __init__(self, front: Front, stream: Stream, headers: Headers) -> None:
+        self.front, self.stream = front, stream
+        self.arrived = front.clock.arrived()
+        self.body: list[bytes] = []
+        self.walk = BodyWalk(front.bounds.message)
+        self.inv: Invocation | None = None
+        self.source: Stream | None = None       # the appliance's stream that is passed on
+        self._answered = False
+        self._late: Any = None
+        self.asked: names.Asked | None = None
+        try:
+            self.asked = names.read_request(headers)
+        except Malformed as error:
+            self.refuse(Status.INVALID_ARGUMENT, str(error))
+            return
+        if not self.asked.content_type.startswith(grpc.CONTENT_TYPE):
+            # the protocol's own answer to what is no gRPC at all
+            self._answered = True
+            stream.send_headers([(b":status", b"415")], end=True)
+            stream.reset(ErrorCodes.NO_ERROR)
+        elif self.asked.path not in front.methods and self.asked.path not in front.aside:
+            self.refuse(Status.UNIMPLEMENTED, f"no operation has the method {self.asked.path.decode('latin-1')}")
+
+    # ---- the request ----
+    def on_headers(self, stream: Stream, headers: Headers) -> None:
+        pass
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        stream.taken(len(data))
+        if self._answered:
+            return
+        try:
+            self.walk.feed(data)
+        except Malformed as error:
+            self.refuse(Status.RESOURCE_EXHAUSTED if "the most" in str(error) else Status.INTERNAL, str(error))
+            return
+        self.body.append(data)
+
+    def on_end(self, stream: Stream, trailers: Headers) -> None:
+        if self._answered:
+            return
+        if not self.walk.whole or self.walk.messages != 1:
+            self.refuse(Status.INTERNAL, f"the request has {self.walk.messages} whole messages"
+                        f"{'' if self.walk.whole else ' and a part'}, where one is due")
+            return
+        asked, front = self.asked, self.front
+        if (handle := front.aside.get(asked.path)) is not None:
+            try:
+                handle(b"".join(self.body)[5:])
+            except Malformed as error:
+                self.refuse(Status.INVALID_ARGUMENT, str(error))
+                return
+            self._answered = True
+            stream.send_headers(grpc.answer_headers())
+            stream.send_data(grpc.frame(b""))
+            stream.send_trailers(grpc.trailers(0))
+            return
+        if front.draining:
+            stream.reset(ErrorCodes.REFUSED_STREAM)
+            return
+        operation = front.methods[asked.path]
+        limit = operation.time_limit if asked.timeout is None else asked.timeout
+        self.inv = front.seat.take(self, operation, self.arrived, limit, customer=asked.customer, key=asked.key,
+                                   hint=asked.hint, retry=asked.retry, write=asked.write)
+
+    def on_gone(self, stream: Stream, how: str, code: int) -> None:
+        """The client has left."""
+        self._forget()
+        if self.inv is not None and not self._answered:
+            self._answered = True
+            self.front.seat.left(self.inv)
+
+    def on_sent(self, stream: Stream, size: int) -> None:
+        if self.source is not None:
+            self.source.taken(size)
+
+    # ---- the answer ----
+    def refuse(self, status: int, text: str) -> None:
+        """Not taken at all."""
+        self._answered = True
+        self.body = []
+        self.stream.send_headers(names.refused(status, text), end=True)
+        if not self.stream.heard_all:
+            self.stream.reset(ErrorCodes.NO_ERROR)      # the rest of the request is not wanted
+
+    def begin(self, source: Stream, head: Headers, body: list[bytes]) -> None:
+        """Pass on what there is of an answer; what follows comes by data(). The source is granted room as the
+        client takes it."""
+        self.source = source
+        self.stream.send_headers(_passed(head))
+        for piece in body:
+            self.stream.send_data(piece)
+
+    def data(self, piece: bytes) -> None:
+        self.stream.send_data(piece)
+
+    def succeed(self, head: Headers, body: list[bytes], tail: Headers) -> None:
+        self._answered, self.body = True, []
+        if self.source is not None:
+            self.stream.send_trailers(_passed(tail))
+        elif head:
+            self.stream.send_headers(_passed(head))
+            for piece in body:
+                self.stream.send_data(piece)
+            self.stream.send_trailers(_passed(tail))
+        else:
+            self.stream.send_headers(_passed(tail), end=True)
+        self._expect()
+
+    def throttle(self, retry_after: int) -> None:
+        self._answered, self.body = True, []
+        self.stream.send_headers(names.throttled(retry_after), end=True)
+
+    def terminate(self) -> None:
+        self._answered, self.body = True, []
+        if self.source is None:
+            self.stream.send_headers(names.terminated(), end=True)
+        else:
+            self.stream.send_trailers(names.terminated(begun=True))
+            self._expect()
+
+    def _expect(self) -> None:
+        """A client that does not read its answer by its time gets no more of it, and the memory is free again."""
+        if not self.stream.said_all and not self.stream.gone:
+            left = (self.inv.expires - self.front.clock.now()) / 1e6
+            self._late = IOLoop.current().call_later(max(0.0, left), self._unread)
+
+    def _unread(self) -> None:
+        self._late = None
+        if not self.stream.said_all and not self.stream.gone:
+            self.front.note("answer_unread", invocation=self.inv.ident, queued=self.stream.queued)
+            self.stream.reset()
+
+    def _forget(self) -> None:
+        if self._late is not None:
+            IOLoop.current().remove_timeout(self._late)
+            self._late = None
+
+
+def _passed(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """What of an appliance's header block goes to the client: all but the hop's own."""
+    return [(name, value) for name, value in headers if name not in (b"connection", b"content-length")]
--- /dev/null
+++ b/cartweir/agent/links.py
@@ -0,0 +1,476 @@
+"""The appliances' side: connections to each, and the attempts and probes that run on them."""
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from google.protobuf.message import DecodeError
+from tornado.ioloop import IOLoop
+
+from .. import interface as ours
+from ..interface import Appliance, Dispatch
+from ..proto import health_pb2
+from ..wire import grpc
+from ..wire.grpc import BodyWalk, Headers, Malformed
+from ..wire.link import Link, Tap, connect, split_address
+from ..wire.session import Limits, Stream
+from . import names
+from .front import ClientCall
+from .seat import Seat
+
+PROBE = b"/grpc.health.v1.Health/Check"
+Note = Callable[..., None]
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """How appliances are reached; times in microseconds, sizes in bytes."""
+    me: int
+    connect_timeout: int
+    probe_timeout: int
+    idle_time: int
+    streams: int
+    connections: int
+    answer: int                     # largest message of an answer
+    hold: int                       # an answer is held back up to this size
+    margin: int                     # before the client's time is up, a begun answer is broken off
+    limits: Limits
+
+
+class Links:
+    """All connections to appliances of one agent."""
+
+    def __init__(self, reach: Reach, now: Callable[[], int], note: Note, tap: Tap | None = None) -> None:
+        self.reach, self.now, self.note, self.tap = reach, now, note, tap
+        self.loop = IOLoop.current()
+        self.seat: Seat | None = None       # set once the seat is there
+        self.pools: dict[Appliance, Pool] = {}
+        self.addresses: dict[str, str] = {}
+
+    def listed(self, changed: list[Appliance]) -> None:
+        """Those that are gone lose their connections once they carry nothing."""
+        for appliance in changed:
+            if appliance.state == ours.GONE:
+                pool = self.pools.pop(appliance, None)
+                if pool is not None:
+                    pool.retire()
+
+    def pool(self, appliance: Appliance) -> Pool:
+        pool = self.pools.get(appliance)
+        if pool is None or pool.address != self.addresses.get(appliance.ident):
+            if pool is not None:
+                pool.retire()
+            pool = self.pools[appliance] = Pool(self, self.addresses.get(appliance.ident, ""))
+        return pool
+
+    def start(self, dispatch: Dispatch, call: ClientCall) -> Attempt:
+        attempt = Attempt(self, dispatch, call)
+        self.pool(dispatch.appliance).send(attempt)
+        return attempt
+
+    def probe(self, appliance: Appliance) -> None:
+        self.pool(appliance).send(ProbeAttempt(self, appliance))
+
+    def close(self) -> None:
+        for pool in list(self.pools.values()):
+            pool.close()
+
+
+class Pool:
+    """Connections to one address. What finds no room on them waits here, though no longer than a connection may
+    take, and the decisions are asked once more before it goes."""
+
+    def __init__(self, links: Links, address: str) -> None:
+        self.links, self.address = links, address
+        self.open: list[ApplianceLink] = []
+        self._opening = 0
+        self._waiting: deque[_Sent] = deque()
+        self._retired = False
+
+    def send(self, sent: _Sent) -> None:
+        link = None if self._waiting else next((link for link in self.open if link.room), None)
+        if link is not None:
+            sent.go(link)
+            return
+        sent.arm()
+        self._waiting.append(sent)
+        self.flow()
+
+    def flow(self) -> None:
+        """Send what waits as far as there is room, and see to more room."""
+        while self._waiting:
+            if self._waiting[0].over:
+                self._waiting.popleft()
+                continue
+            link = next((link for link in self.open if link.room), None)
+            if link is None:
+                break
+            sent = self._waiting.popleft()
+            if sent.still_goes():
+                sent.go(link)
+            else:
+                sent.unsent()
+        streams, busy = self.links.reach.streams, sum(not link.suspect for link in self.open)
+        while len(self._waiting) > self._opening * streams and busy + self._opening < self.links.reach.connections:
+            self._opening += 1
+            asyncio.ensure_future(self._connect())
+
+    async def _connect(self) -> None:
+        """A connection counts once the other side's settings have come: a process that stands still has its
+        connections accepted all the same, and nothing may be known to have run there."""
+        reach, began = self.links.reach, self.links.now()
+        try:
+            stream = await connect(*split_address(self.address), reach.connect_timeout)
+        except (OSError, ValueError) as error:
+            self._opening -= 1
+            self._failed(str(getattr(error, "strerror", None) or error))
+            return
+        owner = ApplianceLink(self)
+        owner.link = Link(stream, True, reach.limits, owner, self.links.tap)
+        left = began + reach.connect_timeout - self.links.now()
+        self.links.loop.call_later(max(0, left) / 1e6, owner.unsettled)
+
+    def settled(self, link: ApplianceLink) -> None:
+        self._opening -= 1
+        self.open.append(link)
+        if self._retired:
+            link.suspect = True
+        self.flow()
+        link.idle_check()
+
+    def never_settled(self, why: str) -> None:
+        self._opening -= 1
+        self._failed(why)
+
+    def _failed(self, why: str) -> None:
+        """No connection: what waits for one has not been sent, unless others may still take it."""
+        self.links.note("unconnected", level="debug", address=self.address, why=why)
+        if not self._opening and all(link.suspect for link in self.open):
+            waiting, self._waiting = self._waiting, deque()
+            for sent in waiting:
+                sent.unsent()
+
+    def lost(self, link: ApplianceLink) -> None:
+        if link in self.open:
+            self.open.remove(link)
+        self.flow()
+
+    def retire(self) -> None:
+        self._retired = True
+        for link in list(self.open):
+            link.suspect = True
+            link.idle_check()
+
+    def close(self) -> None:
+        for link in list(self.open):
+            link.link.close("agent ends")
+
+
+class ApplianceLink:
+    """Owner of one link to an appliance."""
+
+    link: Link
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.settled = False                # the other side's settings have come
+        self.suspect = False                # carries what it has, and nothing new
+        self._used = pool.links.now()
+        self._timer: Any = None
+        self._pings = 0
+
+    @property
+    def room(self) -> bool:
+        session = self.link.session
+        return session.room and not self.suspect and len(session.streams) < self.pool.links.reach.streams
+
+    # ---- the link's owner ----
+    def on_stream(self, stream: Stream, headers: Headers) -> None:
+        stream.reset()                      # an appliance opens none
+
+    def on_settled(self) -> None:
+        if not self.settled:
+            self.settled = True
+            self.pool.settled(self)
+        else:
+            self.pool.flow()
+
+    def unsettled(self) -> None:
+        if not self.settled:
+            self.link.close("no settings in time")
+
+    def on_closing(self, code: int) -> None:
+        self.suspect = True
+        self.idle_check()
+        self.pool.flow()
+
+    def on_lost(self, link: Link, why: str) -> None:
+        if self._timer is not None:
+            self.pool.links.loop.remove_timeout(self._timer)
+            self._timer = None
+        self.pool.links.note("appliance_link_lost", level="debug", address=self.pool.address, why=why)
+        if self.settled:
+            self.pool.lost(self)
+        else:
+            self.settled = True             # it counts no more
+            self.pool.never_settled(why)
+
+    # ---- use ----
+    def freed(self) -> None:
+        """A stream has ended."""
+        self._used = self.pool.links.now()
+        if self.suspect:
+            self.idle_check()
+        self.pool.flow()
+
+    def doubt(self) -> None:
+        """An attempt on it got no answer in time: nothing new goes this way until a ping has come back, since
+        a connection whose other end has vanished looks just like a slow one."""
+        if self.link.closed or self.link.session.pings_due:
+            return
+        self._pings += 1
+        payload = self._pings.to_bytes(8, "big")
+        self.link.session.ping(payload)
+        self.pool.links.loop.call_later(self.pool.links.reach.connect_timeout / 1e6, self._unanswered, payload)
+
+    def _unanswered(self, payload: bytes) -> None:
+        if self.link.closed or self.suspect:
+            return
+        if payload in self.link.session.pings_due:
+            self.suspect = True
+            self.idle_check()
+
+    def idle_check(self) -> None:
+        """Closed when it has carried nothing for the idle time, or at once if nothing more may go there."""
+        if self.link.closed:
+            return
+        links = self.pool.links
+        quiet = not self.link.session.streams
+        since = links.now() - self._used
+        if quiet and (self.suspect or since >= links.reach.idle_time):
+            links.loop.add_callback(self.link.close, "idle")
+        elif self._timer is None:
+            wait = max(links.reach.idle_time - since, 1000) if quiet else links.reach.idle_time
+            self._timer = links.loop.call_later(wait / 1e6, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self.idle_check()
+
+
+class _Sent:
+    """What goes out on a stream of its own: an attempt or a probe."""
+
+    patience: int
+
+    def __init__(self, links: Links) -> None:
+        self.links = links
+        self.over = False
+        self.stream: Stream | None = None
+        self._link: ApplianceLink | None = None
+        self._timer: Any = None
+        self.began = links.now()
+
+    def arm(self) -> None:
+        """Waits for a connection from now on."""
+        wait = min(self.patience, self.links.reach.connect_timeout)
+        self._timer = self.links.loop.call_later(wait / 1e6, self._out_of_time)
+
+    def still_goes(self) -> bool:
+        """It has waited; False: it must not go out any more."""
+        return True
+
+    def go(self, link: ApplianceLink) -> None:
+        self._link = link
+        if self._timer is not None:
+            self.links.loop.remove_timeout(self._timer)
+        left = self.began + self.patience - self.links.now()
+        self._timer = self.links.loop.call_later(max(0, left) / 1e6, self._out_of_time)
+        self.stream = link.link.session.open(self.headers(max(left, 1)), self)
+        self.send_body()
+
+    def headers(self, left: int) -> list[tuple[bytes, bytes]]:
+        raise NotImplementedError
+
+    def send_body(self) -> None:
+        raise NotImplementedError
+
+    def unsent(self) -> None:
+        raise NotImplementedError
+
+    def out_of_time(self) -> None:
+        raise NotImplementedError
+
+    def _out_of_time(self) -> None:
+        self._timer = None
+        if self.over:
+            return
+        if self._link is None:
+            self.unsent()
+            return
+        if not self.stream.gone:
+            self.stream.reset()
+            self._link.doubt()
+        self.done()
+        self.out_of_time()
+
+    def done(self) -> None:
+        """Nothing more is heard of it."""
+        self.over = True
+        if self._timer is not None:
+            self.links.loop.remove_timeout(self._timer)
+            self._timer = None
+        if self._link is not None:
+            self._link.freed()
+
+    def on_sent(self, stream: Stream, size: int) -> None:
+        pass
+
+
+class Attempt(_Sent):
+    """One dispatch on its way: its answer is held until it is whole or too large to hold, and then passed on."""
+
+    def __init__(self, links: Links, dispatch: Dispatch, call: ClientCall) -> None:
+        super().__init__(links)
+        self.dispatch, self.call = dispatch, call
+        self.patience = dispatch.patience or max(1, dispatch.invocation.expires - self.began)
+        self.head: Headers = ()
+        self.body: list[bytes] = []
+        self.held = 0
+        self.walk = BodyWalk(links.reach.answer)
+        self.passing = False
+
+    # ---- out ----
+    def headers(self, left: int) -> list[tuple[bytes, bytes]]:
+        inv, asked = self.dispatch.invocation, self.call.asked
+        return grpc.request_headers(
+            asked.path, self.links.addresses.get(self.dispatch.appliance.ident, "").encode(), left,
+            [*asked.metadata, (names.AGENT_HEADER, b"%d" % self.links.reach.me),
+             (names.DISPATCH_HEADER, b"%d.%d" % (inv.ident, self.dispatch.number))])
+
+    def still_goes(self) -> bool:
+        return self.links.seat.leaves(self.dispatch)
+
+    def send_body(self) -> None:
+        for piece in self.call.body[:-1]:
+            self.stream.send_data(piece)
+        self.stream.send_data(self.call.body[-1], end=True)
+
+    def abandon(self) -> None:
+        if not self.over:
+            if self.stream is not None:
+                self.stream.reset()
+            self.done()
+
+    # ---- in ----
+    def on_headers(self, stream: Stream, headers: Headers) -> None:
+        self.head = headers
+        if self.dispatch.invocation.operation.stream and grpc.find(headers, b":status") == b"200":
+            self._pass_on()
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        try:
+            self.walk.feed(data)
+        except Malformed as error:
+            self.links.note("bad_answer", appliance=self.dispatch.appliance.ident, why=str(error))
+            stream.reset()
+            self._end(ours.ERROR)
+            return
+        if self.passing:
+            self.call.data(data)            # granted anew as the client takes it
+            return
+        stream.taken(len(data))
+        self.body.append(data)
+        self.held += len(data)
+        if self.held > self.links.reach.hold:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        if not self.links.seat.begun(self.dispatch):
+            self.stream.reset()             # another attempt's answer is being passed on
+            self._end(ours.CANCELLED)
+            return
+        self.passing = True
+        self.call.begin(self.stream, self.head, self.body)
+        self.body = []
+        # from here on the client's time alone counts
+        self.links.loop.remove_timeout(self._timer)
+        left = self.dispatch.invocation.expires - self.links.reach.margin - self.links.now()
+        self._timer = self.links.loop.call_later(max(0, left) / 1e6, self._out_of_time)
+
+    def on_end(self, stream: Stream, trailers: Headers) -> None:
+        if not stream.said_all:
+            stream.reset(0)                 # answered before it had read the whole request
+        how = names.outcome_of(self.head, trailers, self.walk.whole)
+        answer = None if self.passing or how != ours.SUCCEEDED else (self.head, self.body, trailers)
+        if self.passing and how == ours.SUCCEEDED:
+            answer = ((), [], trailers)
+        self._end(how, names.load_of(trailers), answer)
+
+    def on_gone(self, stream: Stream, how: str, code: int) -> None:
+        self._end(names.GONE[how])
+
+    def unsent(self) -> None:
+        if not self.over:
+            self._end(ours.UNCONNECTED)
+
+    def out_of_time(self) -> None:
+        self.links.seat.ended(self.dispatch, ours.TIMEOUT, passed=self.passing)
+
+    def _end(self, how: str, load: Mapping[str, float] | None = None, answer: tuple | None = None) -> None:
+        if not self.over:
+            self.done()
+            self.links.seat.ended(self.dispatch, how, load, answer, self.passing)
+
+
+class ProbeAttempt(_Sent):
+    """One Check of grpc.health.v1."""
+
+    def __init__(self, links: Links, appliance: Appliance) -> None:
+        super().__init__(links)
+        self.appliance, self.patience = appliance, links.reach.probe_timeout
+        self.head: Headers = ()
+        self.body = bytearray()
+
+    def headers(self, left: int) -> list[tuple[bytes, bytes]]:
+        return grpc.request_headers(PROBE, self.links.addresses.get(self.appliance.ident, "").encode(), left,
+                                    [(names.AGENT_HEADER, b"%d" % self.links.reach.me)])
+
+    def send_body(self) -> None:
+        self.stream.send_data(grpc.frame(health_pb2.HealthCheckRequest().SerializeToString()), end=True)
+
+    def on_headers(self, stream: Stream, headers: Headers) -> None:
+        self.head = headers
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        stream.taken(len(data))
+        if len(self.body) < 1024:
+            self.body += data
+
+    def on_end(self, stream: Stream, trailers: Headers) -> None:
+        serving = False
+        if grpc.status_of(self.head, trailers) == 0:
+            try:
+                (message,) = grpc.messages(bytes(self.body))
+                serving = health_pb2.HealthCheckResponse.FromString(message).status == 1
+            except (Malformed, ValueError, DecodeError):
+                serving = False
+        self._answer(serving, names.load_of(trailers))
+
+    def on_gone(self, stream: Stream, how: str, code: int) -> None:
+        self._answer(False, None)
+
+    def unsent(self) -> None:
+        if not self.over:
+            self._answer(False, None)
+
+    def out_of_time(self) -> None:
+        self.links.seat.probed(self.appliance, False, self.links.now() - self.began, None)
+
+    def _answer(self, serving: bool, load: Mapping[str, float] | None) -> None:
+        if not self.over:
+            self.done()
+            self.links.seat.probed(self.appliance, serving, self.links.now() - self.began, load)
--- /dev/null
+++ b/cartweir/agent/news.py
@@ -0,0 +1,259 @@
+"""What an agent is told: the list of appliances, stages and reports of the conveyor, messages of its peers; and
+what it says to them: votes and messages. Each connection is kept up with waits that double and are spread out."""
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from google.protobuf.message import DecodeError
+
+from .. import interface as ours
+from ..interface import Stage, Tally
+from ..proto import agent_pb2 as pb
+from ..roster import Row
+from ..wire.calls import CallError, Channel
+from ..wire.grpc import Malformed, Status
+from .links import Links
+from .names import ANSWERS, CHOICES, PHASES, STATES
+from .seat import Seat
+
+Note = Callable[..., None]
+TELL = b"/cartweir.v1.Peer/Tell"
+
+
+class Waits:
+    """Of tries to connect: doubling from the least to the most, each cut by chance to at least half."""
+
+    def __init__(self, least: int, most: int, chance: random.Random) -> None:
+        self.least, self.most, self.chance = least, most, chance
+        self._next = least
+
+    def again(self) -> float:
+        """Seconds to wait before the next try."""
+        wait, self._next = self._next, min(2 * self._next, self.most)
+        return wait * (0.5 + self.chance.random() / 2) / 1e6
+
+    def fine(self) -> None:
+        self._next = self.least
+
+
+class RegistryNews:
+    """The list. push: a watch is always wanted; ask: whenever the decisions ask."""
+
+    def __init__(self, seat: Seat, links: Links, channel: Channel, hello: pb.Hello, push: bool, timeout: int,
+                 waits: Waits, now: Callable[[], int], note: Note, list_file: str | None) -> None:
+        self.seat, self.links, self.channel, self.hello = seat, links, channel, hello
+        self.push, self.timeout, self.waits, self.now, self.note = push, timeout, waits, now, note
+        self.file = Path(list_file) if list_file else None
+        self._watch: asyncio.Task | None = None
+        self._entries: dict[str, pb.Entry] = {}
+        self._started: dict[tuple[str, int], int] = {}      # by appliance and run: when, on our clock
+        self._lost = False
+
+    # ---- from disk ----
+    def start(self) -> None:
+        """The list held last is what the decisions begin with; a file that cannot be read counts as none."""
+        entries: list[pb.Entry] = []
+        if self.file is not None:
+            try:
+                kept = json.loads(self.file.read_text(encoding="utf-8"))
+                entries = [pb.Entry.FromString(bytes.fromhex(text)) for text in kept["entries"]]
+                self.note("list_from_disk", appliances=len(entries), version=int(kept["version"]))
+            except FileNotFoundError:
+                pass
+            except (OSError, ValueError, KeyError, TypeError, DecodeError) as error:
+                self.note("list_file_bad", level="warning", file=str(self.file), reason=str(error)[:200])
+        self._apply("cached", entries)
+        if self.push:
+            self.subscribe()
+
+    def _keep(self, version: int) -> None:
+        if self.file is None:
+            return
+        text = json.dumps({"version": version, "entries": [
+            entry.SerializeToString().hex() for entry in self._entries.values()]})
+        part = self.file.with_name(self.file.name + ".part")
+        try:
+            with open(part, "w", encoding="utf-8") as file:
+                file.write(text)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(part, self.file)
+        except OSError as error:
+            self.note("list_file_bad", level="warning", file=str(self.file), reason=error.strerror)
+
+    # ---- the watch ----
+    def subscribe(self) -> None:
+        if self._watch is None or self._watch.done():
+            self._watch = asyncio.ensure_future(self._watching())
+
+    async def _watching(self) -> None:
+        while True:
+            told = False
+            try:
+                source = self.channel.stream("/cartweir.v1.Registry/Watch", self.hello.SerializeToString())
+                first = await asyncio.wait_for(anext(source), self.timeout / 1e6)
+                self._listing(first)
+                told = True
+                self.waits.fine()
+                async for message in source:
+                    self._listing(message)
+                why = "the watch was ended"
+            except StopAsyncIteration:
+                why = "the watch was ended"
+            except (asyncio.TimeoutError, TimeoutError):
+                why = f"no list within {self.timeout / 1000:.0f} ms"
+            except (CallError, DecodeError) as error:
+                why = str(error)
+            if told or not self._lost:
+                self._lost = True
+                self.note("registry_lost", level="warning", why=why)
+            if not self.push:
+                self.seat.listed("failed")
+                return
+            await asyncio.sleep(self.waits.again())
+
+    def fetch(self) -> None:
+        asyncio.ensure_future(self._fetching())
+
+    async def _fetching(self) -> None:
+        try:
+            answer = await self.channel.unary("/cartweir.v1.Registry/Fetch", self.hello.SerializeToString(), self.timeout)
+            self._listing(answer.message)
+        except (CallError, DecodeError) as error:
+            self.note("fetch_failed", level="warning", why=str(error))
+            self.seat.listed("failed")
+
+    # ---- what it says ----
+    def _listing(self, message: bytes) -> None:
+        listing = pb.Listing.FromString(message)
+        if self._lost:
+            self._lost = False
+            self.note("registry_back", version=listing.version)
+        self._apply("whole" if listing.whole else "changes", listing.entries)
+        self._keep(listing.version)
+        count = sum(entry.state == pb.READY for entry in self._entries.values())
+        self.note("list", version=listing.version, named=len(listing.entries), ready=count)
+
+    def _apply(self, how: str, entries: Iterable[pb.Entry]) -> None:
+        now, rows = self.now(), []
+        if how != "changes":
+            self._entries.clear()
+        for entry in entries:
+            mark = (entry.appliance, entry.run)
+            if mark not in self._started:
+                self._started[mark] = max(1, now - entry.age) if entry.age else 0
+            self._entries[entry.appliance] = entry
+            self.links.addresses[entry.appliance] = entry.address
+            rows.append(Row(entry.appliance, entry.build, entry.run, self._started[mark], STATES[entry.state], entry.zone,
+                            entry.cell, entry.kind, entry.weight or 1.0))
+            if entry.state == pb.GONE:
+                del self._entries[entry.appliance]
+        self._started = {(name, run): since for (name, run), since in self._started.items()
+                         if name in self._entries and self._entries[name].run == run}
+        self.links.listed(self.seat.listed(how, rows))
+
+
+class ConveyorNews:
+    """Stages, reports and tallies in; votes out."""
+
+    def __init__(self, seat: Seat, channel: Channel, hello: pb.Hello, vote_timeout: int, waits: Waits, note: Note,
+                 now: Callable[[], int]) -> None:
+        self.seat, self.channel, self.hello, self.waits, self.note, self.now = seat, channel, hello, waits, note, now
+        self.vote_timeout = vote_timeout
+        self._lost = False
+        self._word: Any = None
+
+    def start(self) -> None:
+        asyncio.ensure_future(self._listening())
+
+    async def _listening(self) -> None:
+        while True:
+            told = False
+            try:
+                async for message in self.channel.stream("/cartweir.v1.Conveyor/News", self.hello.SerializeToString()):
+                    if not told:
+                        told = True
+                        self.waits.fine()
+                        if self._lost:
+                            self._lost = False
+                            self.note("conveyor_back")
+                    self._word_came(pb.Word.FromString(message))
+                why = "the news was ended"
+            except (CallError, DecodeError) as error:
+                why = str(error)
+            if told or not self._lost:
+                self._lost = True
+                self.note("conveyor_lost", level="warning", why=why)
+            await asyncio.sleep(self.waits.again())
+
+    def _word_came(self, word: pb.Word) -> None:
+        match word.WhichOneof("what"):
+            case "stage":
+                self._stage(word.stage, None)
+            case "flag":
+                self.seat.flagged(word.flag.operation, word.flag.appliance, word.flag.age)
+            case "tally":
+                operation = self.seat.operations.get(word.tally.operation)
+                if operation is not None:
+                    tally = word.tally
+                    self.seat.tallied(Tally(tally.build, operation, tally.count, tally.failures, tally.mean_time, tally.age))
+
+    def _stage(self, told: pb.Stage, answer: str | None) -> None:
+        stage = Stage(told.build, told.number, PHASES[told.phase], told.cap, told.age, answer)
+        if self._word != (stage.word, stage.cap):
+            self._word = (stage.word, stage.cap)
+            self.note("stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap)
+        self.seat.staged(stage)
+
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        asyncio.ensure_future(self._voting(build, stage, verdict))
+
+    async def _voting(self, build: int, stage: int, verdict: str) -> None:
+        ballot = pb.Ballot(agent=self.hello.agent, build=build, stage=stage, choice=CHOICES[verdict])
+        try:
+            answer = await self.channel.unary("/cartweir.v1.Conveyor/Vote", ballot.SerializeToString(), self.vote_timeout)
+            told = pb.Verdict.FromString(answer.message)
+            how = ANSWERS[told.answer]
+        except CallError as error:
+            # where it is known that nobody heard it, it does not count; else it may
+            how, told = "timeout" if error.status == Status.DEADLINE_EXCEEDED else "error", None
+        except DecodeError:
+            how, told = "error", None
+        self.note("vote", build=build, stage=stage, verdict=verdict, answer=how)
+        if how == "ok":
+            self._stage(told.stage, "ok")
+        else:
+            self.seat.staged(Stage(build, stage, ours.ON_TRIAL, 0.0, 0, how))
+
+
+class Peers:
+    """Messages between agents; one that gets no answer is lost."""
+
+    def __init__(self, seat: Seat, me: int, channels: dict[int, Channel], timeout: int, note: Note) -> None:
+        self.seat, self.me, self.channels, self.timeout, self.note = seat, me, channels, timeout, note
+
+    def message(self, to: int | None, figures: list[int]) -> None:
+        text = pb.Figures(sender=self.me, figures=figures).SerializeToString()
+        for number, channel in self.channels.items():
+            if to in (None, number):
+                asyncio.ensure_future(self._telling(number, channel, text))
+
+    async def _telling(self, number: int, channel: Channel, text: bytes) -> None:
+        try:
+            await channel.unary(TELL.decode(), text, self.timeout)
+        except CallError as error:
+            self.note("message_lost", level="debug", to=number, why=str(error))
+
+    def heard(self, message: bytes) -> None:
+        """Raises Malformed."""
+        try:
+            told = pb.Figures.FromString(message)
+        except DecodeError:
+            raise Malformed("no cartweir.v1.Figures") from None
+        self.seat.told(told.sender, list(told.figures))
--- /dev/null
+++ b/cartweir/agent/seat.py
@@ -0,0 +1,218 @@
+"""The Door of a running agent: its objects, and the decisions' wishes handed on to the sockets. No socket here:
+the daemon gives it a World and real calls and links, a test gives it others.
+
+Whatever happens outside comes in by the methods under 'in', each of which first lets overdue timers run, so that
+nothing is begun for an invocation whose time passed while the process stood still.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Protocol
+
+from .. import interface as ours
+from ..engine import Engine
+from ..interface import Appliance, Dispatch, Invocation, Operation, Outcome, Stage, Tally, Throttle
+from ..roster import Roster, Row
+from ..wire.grpc import Headers
+
+
+class Call(Protocol):
+    """The client's side of one invocation."""
+
+    def succeed(self, head: Headers, body: list[bytes], tail: Headers) -> None: ...
+    def throttle(self, retry_after: int) -> None: ...
+    def terminate(self) -> None: ...
+
+
+class Attempt(Protocol):
+    """The appliance's side of one dispatch."""
+
+    def abandon(self) -> None: ...
+
+
+class World(Protocol):
+    """What the seat needs of its surroundings."""
+
+    def now(self) -> int: ...
+    def alarm_at(self, due: int) -> None: ...
+    def soon(self, do: Callable[[], None]) -> None: ...
+    def start(self, dispatch: Dispatch, call: Call) -> Attempt: ...
+    def probe(self, appliance: Appliance) -> None: ...
+    def vote(self, build: int, stage: int, verdict: str) -> None: ...
+    def subscribe(self) -> None: ...
+    def fetch_list(self) -> None: ...
+    def message(self, to: int | None, figures: list[int]) -> None: ...
+    def note(self, event: str, **facts: Any) -> None: ...
+
+
+class Seat:
+    """One instance. known: the plain map of settings, with its operations."""
+
+    def __init__(self, world: World, known: Mapping[str, Any], seed: int) -> None:
+        self.world = world
+        self.known = known
+        self.operations: dict[str, Operation] = {operation.name: operation for operation in known["operations"]}
+        self.roster = Roster()
+        self.calls: dict[Invocation, Call] = {}             # invocations that are owed an answer
+        self.attempts: dict[Dispatch, Attempt] = {}         # dispatches that are out
+        self._count = 0
+        self.engine = Engine(world.now(), seed, known, self)
+
+    # ---- out: the Door ----
+    def dispatch(self, dispatch: Dispatch) -> None:
+        inv = dispatch.invocation
+        call = self.calls.get(inv)
+        if call is None or inv.streaming or self.engine.now >= inv.expires or (
+                dispatch.number >= self.known["dispatch_limit"]) or dispatch.appliance.state == ours.GONE:
+            self.world.soon(lambda: self.ended(dispatch, ours.MOOT))
+            return
+        self.attempts[dispatch] = self.world.start(dispatch, call)
+        self.world.note("dispatch", invocation=inv.ident, dispatch=dispatch.number,
+                        appliance=dispatch.appliance.ident, build=dispatch.appliance.build)
+
+    def cancel(self, dispatch: Dispatch) -> None:
+        attempt = self.attempts.get(dispatch)
+        if attempt is not None:
+            attempt.abandon()
+            self.world.soon(lambda: self.ended(dispatch, ours.CANCELLED))
+
+    def throttle(self, inv: Invocation, retry_after: int) -> None:
+        self._answer(inv, "throttled", lambda call: call.throttle(retry_after))
+
+    def terminate(self, inv: Invocation) -> None:
+        self._answer(inv, "terminated", lambda call: call.terminate())
+
+    def _answer(self, inv: Invocation, how: str, give: Callable[[Call], None]) -> None:
+        call = self.calls.pop(inv, None)
+        if call is not None:
+            give(call)
+            self.world.note("answer", invocation=inv.ident, operation=inv.operation.name, how=how,
+                            dispatches=len(inv.dispatches), took=self.engine.now - inv.taken)
+
+    def set_timer(self, due: int) -> None:
+        self.world.alarm_at(due)
+
+    def log(self, text: str) -> None:
+        self.world.note("decision", text=text)
+
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        self.world.vote(build, stage, verdict)
+
+    def subscribe(self) -> None:
+        self.world.subscribe()
+
+    def fetch_list(self) -> None:
+        self.world.fetch_list()
+
+    def probe(self, appliance: Appliance) -> None:
+        self.world.probe(appliance)
+
+    def message(self, to: int | None, figures: list[int]) -> None:
+        self.world.message(to, figures)
+
+    # ---- in ----
+    def enter(self) -> None:
+        """The present moment; what is overdue comes before any news."""
+        now = max(self.world.now(), self.engine.now)
+        self.engine.enter(now)
+        self.engine.overdue()
+
+    def alarm(self) -> None:
+        self.engine.enter(max(self.world.now(), self.engine.now))
+        self.engine.alarm()
+        self.engine.settle()
+
+    def take(self, call: Call, operation: Operation, arrived: int, limit: int, **facts: Any) -> Invocation:
+        """A whole call has come in; limit: how long after `arrived` its client waits."""
+        self.enter()
+        self._count += 1
+        inv = Invocation(self._count, operation, min(arrived, self.engine.now),
+                         arrived + min(limit, operation.time_limit), **facts)
+        self.calls[inv] = call
+        self.engine.take(inv)
+        self.engine.settle()
+        return inv
+
+    def left(self, inv: Invocation) -> None:
+        """The client has gone; nothing is owed."""
+        if self.calls.pop(inv, None) is not None:
+            self.enter()
+            self.world.note("left", invocation=inv.ident)
+            self.engine.expired(inv)
+            self.engine.settle()
+
+    def leaves(self, dispatch: Dispatch) -> bool:
+        """A dispatch has its connection at last; False: it must not go out any more."""
+        if dispatch.ended is not None or dispatch.invocation not in self.calls:
+            return False
+        self.enter()
+        return self.engine.leaves(dispatch)
+
+    def begun(self, dispatch: Dispatch) -> bool:
+        """The dispatch's answer starts to be passed on; False: another one has been before it."""
+        inv = dispatch.invocation
+        if inv not in self.calls or inv.streaming:
+            return False
+        inv.streaming = True
+        return True
+
+    def ended(self, dispatch: Dispatch, how: str, load: Mapping[str, float] | None = None,
+              answer: tuple[Headers, list[bytes], Headers] | None = None, passed: bool = False) -> None:
+        """A dispatch has ended. answer: what succeeded, to be passed on; passed: it was already being."""
+        if dispatch.ended is not None:
+            return
+        self.attempts.pop(dispatch, None)
+        self.enter()
+        inv = dispatch.invocation
+        if how == ours.SUCCEEDED and (answer is not None or passed):
+            self._answer(inv, "succeeded", lambda call: call.succeed(*(answer or ((), [], ()))))
+        elif passed:
+            self._answer(inv, "terminated", lambda call: call.terminate())
+        self.engine.outcome(Outcome(dispatch, how, self.engine.now - dispatch.sent, inv not in self.calls, load))
+        self.engine.settle()
+
+    def probed(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
+        self.enter()
+        self.engine.probed(appliance, answered, took, load)
+        self.engine.settle()
+
+    def listed(self, how: str, rows: Iterable[Row] = ()) -> list[Appliance]:
+        """how: changes, whole, cached or failed, as the decisions know it."""
+        self.enter()
+        changed = self.roster.apply(how in ("whole", "cached"), rows) if how != "failed" else []
+        self.engine.agent.on_list(how, changed)
+        self.engine.settle()
+        return changed
+
+    def staged(self, stage: Stage) -> None:
+        self.enter()
+        self.engine.agent.on_stage(stage)
+        self.engine.settle()
+
+    def tallied(self, tally: Tally) -> None:
+        self.enter()
+        self.engine.agent.on_tally(tally)
+        self.engine.settle()
+
+    def flagged(self, operation: str, appliance: str, age: int) -> None:
+        self.enter()
+        if operation in self.operations and appliance in self.roster.appliances:
+            self.engine.agent.on_flag(self.operations[operation], self.roster.appliances[appliance], age)
+        self.engine.settle()
+
+    def told(self, sender: int, figures: list[int]) -> None:
+        self.enter()
+        self.engine.agent.on_message(sender, figures)
+        self.engine.settle()
+
+    def give_up_all(self) -> None:
+        """The process ends now: what is owed is answered as the decisions say."""
+        self.enter()
+        for inv in list(self.calls):
+            match self.engine.agent.give_up(inv):
+                case Throttle(retry_after):
+                    self.throttle(inv, retry_after)
+                case _:
+                    self.terminate(inv)
+            self.engine.expired(inv)
+        self.engine.settle()
--- /dev/null
+++ b/cartweir/audit/run.py
@@ -0,0 +1,103 @@
+"""The audit of one run's folder: agent*.tap and agent*.ini of each agent, clients*.tap, field*.tap, facts.jsonl."""
+from __future__ import annotations
+
+import json
+import re
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..settings.ini import BadInput, read_agent
+from .decode import Tapped, read_tap
+from .rules import TRY, Breach, Life, Machine, agree, cold, kept
+
+RULES = {1: "one final answer in time, nothing after it", 2: "no effect twice", 3: "drains kept",
+         4: "no cold appliance pushed over", 5: "exposure within the cap"}
+
+
+@dataclass
+class Report:
+    breaches: list[Breach]
+    table: dict[tuple[str, str], Counter]           # by operation and build: taken, succeeded, ... , dispatches
+    votes: list[dict[str, Any]]
+    offered: list[str] = field(default_factory=list)
+    lives: int = 0
+    late_calls: int = 0                             # came with less time than the way back takes
+
+    def verdict(self, rule: int) -> str:
+        count = sum(breach.rule == rule for breach in self.breaches)
+        return "kept" if not count else f"BROKEN {count} times"
+
+    def as_dict(self) -> dict[str, Any]:
+        return {"rules": {number: self.verdict(number) for number in RULES}, "lives": self.lives,
+                "breaches": [[b.rule, b.time, b.where, b.what] for b in self.breaches],
+                "table": [{"operation": operation, "build": build, **counts}
+                          for (operation, build), counts in sorted(self.table.items())], "votes": self.votes}
+
+    def text(self) -> str:
+        columns = ("taken", "succeeded", "throttled", "terminated", "left", "killed", "late", "dispatches")
+        lines = [f"{'operation':<16}{'build':>7}" + "".join(f"{c:>12}" for c in columns)]
+        for (operation, build), counts in sorted(self.table.items()):
+            lines.append(f"{operation:<16}{build:>7}" + "".join(f"{counts[c] or '-':>12}" for c in columns))
+        lines.append("")
+        for number, words in RULES.items():
+            lines.append(f"rule {number}, {words}: {self.verdict(number)}")
+        shown = sorted(self.breaches, key=lambda b: (b.rule, b.time))
+        lines.extend(f"  rule {b.rule} at {b.time}: {b.where}: {b.what}" for b in shown[:20])
+        if len(shown) > 20:
+            lines.append(f"  and {len(shown) - 20} more")
+        return "\n".join(lines)
+
+
+def audit(folder: Path) -> Report:
+    """Raises BadInput where the folder lacks what is needed."""
+    taps = {kind: [read_tap(path, kept) for path in sorted(folder.glob(f"{kind}*.tap"))]
+            for kind in ("agent", "clients", "field")}
+    missing = [kind for kind, found in taps.items() if not found]
+    if missing:
+        raise BadInput([f"{folder}: no {kind}*.tap: a folder written by `cartweir demo --keep` is due" for kind in missing])
+    facts = [json.loads(line) for line in _lines(folder / "facts.jsonl")]
+    deadlines = {e.asked[TRY.decode()]: e.began for t in taps["clients"] for e in t.exchanges if TRY.decode() in e.asked}
+    killed = {fact["tap"] for fact in facts if fact["event"] == "killed"}
+    lives = [_life(folder, tapped, deadlines) for tapped in taps["agent"]]
+    for life in lives:
+        life.check(life.tapped.name in killed)
+    machines = [Machine(**{key: fact[key] for key in Machine.__dataclass_fields__})
+                for fact in facts if fact["event"] == "machine"]
+    breaches = [b for life in lives for b in life.breaches] + cold(machines, taps["field"]) + agree(lives, taps["field"])
+    breaches += [Breach(4, fact["time"], fact["ident"], "fell over") for fact in facts if fact["event"] == "fell"]
+    return Report(breaches, _table(lives), [fact for fact in facts if fact["event"] == "vote"], lives=len(lives))
+
+
+def _lines(path: Path) -> list[str]:
+    try:
+        return path.read_text().splitlines()
+    except FileNotFoundError:
+        raise BadInput([f"{path}: missing: a folder written by `cartweir demo --keep` is due"]) from None
+
+
+def _life(folder: Path, tapped: Tapped, deadlines: dict[str, int]) -> Life:
+    """agent1-2.tap is the second life of the agent with agent1.ini."""
+    name = re.match(r"agent\d+", tapped.name)
+    if name is None:
+        raise BadInput([f"{folder / tapped.name}: agentN-LIFE.tap is due"])
+    return Life(tapped, read_agent(folder / f"{name[0]}.ini"), deadlines)
+
+
+def _table(lives: list[Life]) -> dict[tuple[str, str], Counter]:
+    table: dict[tuple[str, str], Counter] = {}
+    for life in lives:
+        builds = {dispatch: str(place[0].build) if place else "?"
+                  for dispatch, place in zip(life.dispatches, life.places)}
+        for taken in life.taken:
+            answered = [d for d in taken.dispatches if d.tail.get("grpc-status") == "0"]
+            build = builds[answered[0]] if taken.how == "succeeded" and answered else "-"
+            row = table.setdefault((taken.operation, build), Counter())
+            row["taken"] += 1
+            row[taken.how] += 1
+            slo_time = life.document.operations[taken.operation].slo_time
+            row["late"] += taken.how == "succeeded" and taken.front.ends[0] - taken.front.began > slo_time
+            for dispatch in taken.dispatches:
+                table.setdefault((taken.operation, builds[dispatch]), Counter())["dispatches"] += 1
+    return table
--- /dev/null
+++ b/cartweir/cli.py
@@ -0,0 +1,142 @@
+"""The command line."""
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any, NoReturn, Optional
+
+import typer
+
+from . import __version__
+from .settings.ini import BadInput, read_agent
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+                  help="cartweir routes gRPC calls to appliances and judges the builds they run.")
+settings = typer.Typer(no_args_is_help=True, help="Check and explain settings files.")
+app.add_typer(settings, name="settings")
+standin = typer.Typer(no_args_is_help=True, help="Stand-ins to try an agent with, on loopback.")
+app.add_typer(standin, name="standin")
+
+SettingsFile = Annotated[Path, typer.Option("--settings", "-s", help="The agent's INI file.", metavar="FILE")]
+
+
+def _tap(path: Path | None) -> Any:
+    from .wire.tap import FileTap
+
+    if path is None:
+        return None
+    try:
+        return FileTap(path)
+    except OSError as error:
+        fail(f"--tap {path}: {error.strerror}: a file that can be written is due")
+
+
+def fail(text: str, code: int = 2) -> NoReturn:
+    print(text, file=sys.stderr)
+    raise typer.Exit(code)
+
+
+@app.command()
+def agent(file: SettingsFile,
+          tap: Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")] = None,
+          ) -> None:
+    """Run one agent until SIGTERM, which lets it finish what it holds."""
+    from .agent.daemon import run
+
+    try:
+        document = read_agent(file)
+    except BadInput as error:
+        fail(str(error))
+    try:
+        asyncio.run(run(document, _tap(tap)))
+    except OSError as error:
+        fail(f"{file}: [agent] listen = {document.agent.listen}: {error.strerror or error}: "
+             f"an address that is free on this machine is due", 1)
+
+
+@settings.command()
+def check(file: Annotated[Path, typer.Argument(metavar="FILE")]) -> None:
+    """Report everything that is wrong with a settings file."""
+    try:
+        document = read_agent(file)
+    except BadInput as error:
+        fail(str(error))
+    print(f"{file}: fine: agent {document.agent.me} of {document.agent.agents}, "
+          f"{len(document.operations)} operations, {len(document.release.caps)} stages")
+
+
+@settings.command()
+def explain(key: Annotated[Optional[str], typer.Argument(help="A section, a key or section.key.")] = None) -> None:
+    """Say of each key what it means, its unit and its default."""
+    from .settings.explain import explain as text
+
+    try:
+        print(text(key))
+    except BadInput as error:
+        fail(str(error))
+
+
+@app.command()
+def demo(seed: Annotated[int, typer.Option(help="All chance of the day comes from it.")] = 1,
+         seconds: Annotated[float, typer.Option(min=8, max=600, help="Length of the day.")] = 30.0,
+         as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False,
+         keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and taps in this folder.")] = None,
+         ) -> None:
+    """Play a scripted bad day on loopback: 9 appliances, 3 agents, clients, and what goes wrong."""
+    import tempfile
+
+    from .standin.day import Day
+
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
+        folder = keep or Path(scratch)
+        if keep is not None and any(keep.glob("*.tap")):
+            fail(f"--keep {keep}: holds an earlier run: a new or empty folder is due")
+        day = Day(folder, seed, seconds, say=(lambda line: None) if as_json else lambda line: print(line, flush=True))
+        try:
+            report = asyncio.run(day.run())
+        except OSError as error:
+            fail(f"demo: {error}", 1)
+        if as_json:
+            print(json.dumps(report.as_dict(), indent=1))
+        else:
+            print("\nwhy agents voted as they did:", *(f"  {line}" for line in day.reasons()), "", report.text(), sep="\n")
+    raise typer.Exit(1 if report.breaches else 0)
+
+
+@app.command(name="audit")
+def audit_command(folder: Annotated[Path, typer.Argument(metavar="DIR", help="As `cartweir demo --keep` leaves it.")],
+                  as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False) -> None:
+    """Decide the five rules from what passed on the sockets of a run."""
+    from .audit.run import audit
+
+    try:
+        report = audit(folder)
+    except BadInput as error:
+        fail(str(error))
+    print(json.dumps(report.as_dict(), indent=1) if as_json else report.text())
+    raise typer.Exit(1 if report.breaches else 0)
+
+
+@standin.command(name="clients")
+def standin_clients(addresses: Annotated[list[str], typer.Argument(metavar="HOST:PORT...", help="Of the agents.")],
+                    seconds: Annotated[float, typer.Option(help="How long calls are begun.")] = 10.0,
+                    rate: Annotated[float, typer.Option(help="First tries a second.")] = 100.0,
+                    seed: Annotated[int, typer.Option(help="All chance comes from it.")] = 1,
+                    tap: Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")] = None,
+                    ) -> None:
+    """Light clients that call the demo's three operations, with retries and popular keys."""
+    from .standin.day import clients
+
+    print(json.dumps(asyncio.run(clients(addresses, seconds, rate, seed, _tap(tap)))))
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    print(f"cartweir {__version__}")
+
+
+def main() -> None:
+    app()
--- a/cartweir/drill/adapter.py
+++ b/cartweir/drill/adapter.py
@@ -7,6 +7,7 @@
 from .. import interface as ours
 from ..engine import Engine
 from ..interface import Appliance, Dispatch, Invocation, Operation, Outcome, Stage, Tally
+from ..roster import Roster, Row
 from .wire import WireError, encode, messages, microseconds, milliseconds, one_line
 
 EFFECTS = {"retryable": ours.IDEMPOTENT, "dedup": ours.FINGERPRINTED, "fragile": ours.SIDE_EFFECTING}
@@ -100,12 +101,19 @@
     return {LOADS[name]: value for name, value in row.get("usage", {}).items() if name in LOADS} or None
 
 
+def _entry(row: dict[str, Any]) -> Row:
+    started = row.get("upSince", 0)
+    return Row(row["appliance"], row.get("runs", 0), started, started,
+               STATES.get(row.get("phase", "ready"), ours.DRAINING), row.get("dc"), row.get("pod"), row.get("shape"),
+               row.get("size"))
+
+
 class Seat:
     """One instance's door: its ids, and its actions as lines."""
 
     def __init__(self, name: str, now: int, seed: int, params: dict[str, Any], out: list[str]) -> None:
         self.name, self.out = name, out
-        self.appliances: dict[str, Appliance] = {}
+        self.roster = Roster()
         self.invocations: dict[int, Invocation] = {}
         known = known_from(params)
         self.operations = {operation.name: operation for operation in known["operations"]}
@@ -150,30 +158,8 @@
         self._say("NOTIFY", addressee="*" if to is None else to, body=" ".join(map(str, figures)).encode())
 
     # ---- in ----
-    def registry(self, how: str, rows: list[dict[str, Any]]) -> None:
-        """A list or a change to it. Another start or another build under an old id is another appliance."""
-        changed: list[Appliance] = []
-        named = set()
-        for row in rows:
-            ident = row["appliance"]
-            named.add(ident)
-            state = STATES.get(row.get("phase", "ready"), ours.DRAINING)
-            build, started = row.get("runs", 0), row.get("upSince", 0)
-            old = self.appliances.get(ident)
-            if old is None or old.build != build or (started and old.started != started):
-                if old is not None and old.state != ours.GONE:
-                    old.state = ours.GONE
-                    changed.append(old)
-                old = self.appliances[ident] = Appliance(ident, build, started=started)
-            old.zone, old.cell = row.get("dc", old.zone), row.get("pod", old.cell)
-            old.kind, old.weight = row.get("shape", old.kind), row.get("size", old.weight)
-            old.state = state
-            changed.append(old)
-        if how in ("whole", "cached"):
-            for ident, appliance in self.appliances.items():
-                if ident not in named and appliance.state != ours.GONE:
-                    appliance.state = ours.GONE
-                    changed.append(appliance)
+    def registry(self, how: str, rows: list[Row]) -> None:
+        changed = self.roster.apply(how in ("whole", "cached"), rows)
         self.engine.agent.on_list(how, changed)
 
     def take(self, now: int, row: dict[str, Any], number: int) -> None:
@@ -205,8 +191,8 @@
             self.engine.expired(inv)
             self._forget(inv)
 
-    def handle(self, number: int, message: str, row: dict[str, Any], rows: list[dict[str, Any]]) -> None:
-        agent, appliance = self.engine.agent, self.appliances.get(row.get("appliance", ""))
+    def handle(self, number: int, message: str, row: dict[str, Any], rows: list[Row]) -> None:
+        agent, appliance = self.engine.agent, self.roster.appliances.get(row.get("appliance", ""))
         match message:
             case "INGRESS":
                 self.take(self.engine.now, row, number)
@@ -252,11 +238,11 @@
 def serve(source: TextIO, sink: TextIO) -> None:
     """Read batches and reply to each until the input ends."""
     seats: dict[str, Seat] = {}
-    sheets: dict[int, list[dict[str, Any]]] = {}
+    sheets: dict[int, list[Row]] = {}
     out: list[str] = []
     touched: dict[str, Seat] = {}
     now: int | None = None
-    sheet: list[dict[str, Any]] = []
+    sheet: list[Row] = []
     missing = 0
     for number, message, row in messages(source):
         if missing and message != "ENTRY":
@@ -284,7 +270,7 @@
             if not missing:
                 raise WireError(f"line {number}: ENTRY outside a POOL")
             missing -= 1
-            sheet.append(row)
+            sheet.append(_entry(row))
         elif message == "SPAWN":
             name = row["agent"]
             try:
@@ -300,7 +286,7 @@
                 del seats[name]
                 touched.pop(name, None)
                 continue
-            rows: list[dict[str, Any]] = []
+            rows: list[Row] = []
             if message == "REGISTRY" and row["how"] != "error":
                 if row.get("sheet") not in sheets:
                     raise WireError(f"line {number}: REGISTRY: sheet {row.get('sheet')} was never sent")
--- a/cartweir/engine.py
+++ b/cartweir/engine.py
@@ -68,6 +68,11 @@
             heapq.heappop(self._timers)[2]()
         self._arm()
 
+    def overdue(self) -> None:
+        """Run what should have run before the event in hand, without waiting for its alarm."""
+        if self._timers and self._timers[0][0] <= self.now:
+            self.alarm()
+
     # ---- invocations ----
     def take(self, inv: Invocation) -> None:
         inv.steps = self.agent.handle(inv)
@@ -88,6 +93,10 @@
         if answered:
             self._woken.extend((inv, turn) for inv, turn, asked in self._probing if appliance in asked)
 
+    def leaves(self, dispatch: Dispatch) -> bool:
+        """A dispatch that had to wait outside could go out now. False: it must not any more."""
+        return self.agent.leaves(dispatch)
+
     def expired(self, inv: Invocation) -> None:
         """The client has left; nothing more is owed."""
         inv.concluded = True
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -333,12 +333,16 @@
 
     def may_go(self, inv: Invocation, appliance: Appliance) -> bool:
         """The gate that no dispatch passes by: drains, shut ones, repeats, cold ones, exposure, keys."""
-        health, stage = appliance.learned, self.stage
+        health = appliance.learned
         shut = health.shut_until > self.host.now or (health.strikes and health.open)
         if appliance.state != READY or shut or (self.credit < 0 and self.warmth(appliance) < 1.0) or (
                 not self.may_repeat(inv, appliance)):
             return False
-        cap = self.cap_of(appliance)
+        return self.may_meet(inv, appliance)
+
+    def may_meet(self, inv: Invocation, appliance: Appliance) -> bool:
+        """Exposure and keys."""
+        stage, cap = self.stage, self.cap_of(appliance)
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
             over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
@@ -527,9 +531,23 @@
         health, exposure = place.learned, self.exposures[inv.operation]
         self.open, health.open, health.load = self.open + 1, health.open + 1, health.load + 1
         self.credit -= self.warmth(place) < 1.0
+        dispatch = Dispatch(place, max(patience, MS), until)
         if self.cap_of(place) is not None:
-            exposure.sends.append([self.host.now, exposure.taken])
-        return Dispatch(place, max(patience, MS), until)
+            dispatch.learned = [self.host.now, exposure.taken]
+            exposure.sends.append(dispatch.learned)
+        return dispatch
+
+    def leaves(self, dispatch: Dispatch) -> bool:
+        """One that waited outside for its connection goes now, if it still may, and counts from now: guards
+        against a build on trial getting in one burst what was let through one by one."""
+        inv, place, exposure = dispatch.invocation, dispatch.appliance, self.exposures[dispatch.invocation.operation]
+        if dispatch.learned in exposure.sends:
+            exposure.sends.remove(dispatch.learned)
+        may = not inv.concluded and not inv.streaming and place.state == READY and self.may_meet(inv, place)
+        if may and self.cap_of(place) is not None:
+            dispatch.learned = [self.host.now, exposure.taken]
+            exposure.sends.append(dispatch.learned)
+        return may
 
     def give_up(self, inv: Invocation) -> Throttle | Terminate:
         """Throttled where that is true: nothing ran, or a repeat is harmless wherever it goes."""
--- /dev/null
+++ b/cartweir/roster.py
@@ -0,0 +1,62 @@
+"""The list of appliances as one instance was told it: rows of news to Appliance objects. No decision.
+
+The same process keeps its object through every news; another start or another build under an old ident is
+another appliance, and the one before it is gone. Used by the drill and by the running agent.
+"""
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass
+
+from .interface import GONE, READY, Appliance
+
+
+@dataclass(eq=False, slots=True)
+class Row:
+    """One entry of news; None: the news does not say."""
+    ident: str
+    build: int = 0
+    run: Hashable = 0               # tells the starts of a process apart; 0: not told
+    started: int = 0                # by the host's clock; 0: long ago
+    state: str = READY
+    zone: str | None = None
+    cell: int | None = None
+    kind: str | None = None
+    weight: float | None = None
+
+
+class Roster:
+    def __init__(self) -> None:
+        self.appliances: dict[str, Appliance] = {}
+        self._runs: dict[str, Hashable] = {}
+
+    def apply(self, whole: bool, rows: Iterable[Row]) -> list[Appliance]:
+        """The appliances that the news concerns, in its order; `whole`: what it does not name is gone."""
+        changed: list[Appliance] = []
+        named = set()
+        for row in rows:
+            ident = row.ident
+            named.add(ident)
+            old = self.appliances.get(ident)
+            if old is None or old.build != row.build or (row.run and self._runs.get(ident) != row.run):
+                if old is not None and old.state != GONE:
+                    old.state = GONE
+                    changed.append(old)
+                old = self.appliances[ident] = Appliance(ident, row.build, started=row.started)
+                self._runs[ident] = row.run
+            if row.zone is not None:
+                old.zone = row.zone
+            if row.cell is not None:
+                old.cell = row.cell
+            if row.kind is not None:
+                old.kind = row.kind
+            if row.weight is not None:
+                old.weight = row.weight
+            old.state = row.state
+            changed.append(old)
+        if whole:
+            for ident, appliance in self.appliances.items():
+                if ident not in named and appliance.state != GONE:
+                    appliance.state = GONE
+                    changed.append(appliance)
+        return changed
--- /dev/null
+++ b/cartweir/standin/clients.py
@@ -0,0 +1,125 @@
+"""Light clients on our own wire: seeded arrivals, popular keys, retries of their own, deadlines of their own."""
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..agent.clock import monotonic
+from ..agent.names import ANSWER, CUSTOMER, KEY, RETRY, WORK
+from ..wire import grpc
+from ..wire.calls import CallError, Channel
+from ..wire.grpc import Status
+from ..wire.link import Tap
+from .appliance import MARK, OPERATION
+
+TRY = b"x-try"      # seed and number of one try, unlike any other of the run
+
+
+@dataclass
+class Kind:
+    """Of calls. Times in microseconds; share beside other kinds."""
+    operation: str
+    path: str
+    share: float
+    work: int
+    slo_time: int
+    time_limit: int
+    marked: bool = False            # carries a mark against repeats
+
+
+@dataclass
+class Load:
+    """What one run of clients sends, and what came of it."""
+    kinds: list[Kind]
+    addresses: list[str]
+    rate: float                     # first tries a second
+    seed: int = 1
+    keys: int = 2000
+    retries: int = 2
+    connections: int = 2            # to each agent
+    tap: Tap | None = None
+    counts: dict[tuple[str, str], int] = field(default_factory=Counter)     # by operation and end
+    _tries: int = 0
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(self.seed)
+        self._channels = {address: [Channel(address, 1_000_000, tap=self.tap) for _ in range(self.connections)]
+                          for address in self.addresses}
+        self._running: set[asyncio.Task] = set()
+        # popular keys: the n-th of them comes 1/n as often
+        self._weights = [1 / (n + 1) ** 0.8 for n in range(self.keys)]
+
+    async def run(self, seconds: float) -> None:
+        """Sends for so long, then waits for the last to end."""
+        end = monotonic() + int(seconds * 1e6)
+        due = monotonic()
+        while True:
+            due += int(self.chance.expovariate(self.rate) * 1e6)
+            if due >= end:
+                break
+            if (wait := due - monotonic()) > 0:
+                await asyncio.sleep(wait / 1e6)
+            kind = self.chance.choices(self.kinds, [k.share for k in self.kinds])[0]
+            task = asyncio.ensure_future(self._one(kind, random.Random(self.chance.getrandbits(60))))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+        while self._running:
+            await asyncio.wait(self._running)
+
+    async def _one(self, kind: Kind, chance: random.Random) -> None:
+        """One call with its client's own retries, told apart by metadata."""
+        began = monotonic()
+        work = max(1000, int(kind.work * chance.lognormvariate(-0.125, 0.5)))
+        key = chance.choices(range(self.keys), self._weights)[0]
+        mark = b"%x" % chance.getrandbits(64)
+        address = chance.choice(self.addresses)
+        self.counts[kind.operation, "asked"] += 1
+        for number in range(self.retries + 1):
+            left = began + kind.time_limit - monotonic()
+            if left < 20_000:
+                break
+            patience = min(left, int(kind.time_limit * chance.uniform(0.4, 1.0)))
+            how, pushback = await self._try(kind, address, patience, work, key, mark, number, chance)
+            self.counts[kind.operation, how] += 1
+            if how == "succeeded":
+                late = monotonic() - began > kind.slo_time
+                self.counts[kind.operation, "late" if late else "in time"] += 1
+                return
+            if how == "terminated" and (pushback or 0) < 0:
+                return
+            if how in ("lost", "unreached") and len(self.addresses) > 1:
+                address = chance.choice([a for a in self.addresses if a != address])
+            await asyncio.sleep(max(pushback or 0, chance.uniform(0.02, 0.06) * 2 ** number * 1000) / 1000)
+
+    async def _try(self, kind: Kind, address: str, patience: int, work: int, key: int, mark: bytes, number: int,
+                   chance: random.Random) -> tuple[str, int | None]:
+        self._tries += 1
+        metadata = [(TRY, b"%d-%d" % (self.seed, self._tries)), (WORK, grpc.encode_timeout(work)), (KEY, b"k%d" % key),
+                    (OPERATION, kind.operation.encode()), (CUSTOMER, b"c%d" % (key % 4))]
+        if kind.marked:
+            metadata.append((MARK, mark))
+        if number:
+            metadata.append((RETRY, b"1"))
+        channel = chance.choice(self._channels[address])
+        try:
+            await channel.unary(kind.path, b"." * 200, patience, metadata)
+            return "succeeded", None
+        except CallError as error:
+            answer = grpc.find(error.metadata, ANSWER)
+            pushback: Any = grpc.find(error.metadata, grpc.PUSHBACK)
+            pushback = int(pushback) if pushback else None
+            if answer is not None:
+                return answer.decode(), pushback
+            if error.status == Status.DEADLINE_EXCEEDED:
+                return "no answer", None
+            if error.status == Status.UNAVAILABLE:
+                return ("unreached" if error.never_ran else "lost"), None
+            return "answered " + Status(error.status).name, pushback
+
+    def close(self) -> None:
+        for channels in self._channels.values():
+            for channel in channels:
+                channel.close()
