Agents as processes under test: signals, stops, short descriptors, lost news

Hard cases that need a process of its own had no tests. They found: a signal right after the start ended the agent before its handler stood; the bytes of a stopped process were taken to have come after the stop, since the wait that a signal breaks off has not looked at the sockets. The selector now carries the earliest moment over such a wait.

--- a/cartweir/agent/clock.py
+++ b/cartweir/agent/clock.py
@@ -4,6 +4,7 @@
 import asyncio
 import selectors
 import time
+from collections import deque
 from collections.abc import Callable
 
 OVERSLEPT = 10_000      # microseconds beyond its time-out by which a selector that was not stopped has returned
@@ -21,24 +22,27 @@
     def __init__(self) -> None:
         super().__init__()
         self._back = monotonic()
-        self._since = (self._back, self._back)      # of the turn before and of this one
+        self._overslept = False
+        self._since = deque([self._back] * 3, 3)        # of this turn and the two before
 
     def select(self, timeout: float | None = None) -> list:
         entered = monotonic()
         found = super().select(timeout)
         back = monotonic()
-        if back - entered < 200:
-            since = self._back
-        elif timeout is not None and back > entered + int(timeout * 1e6) + OVERSLEPT:
+        overslept = timeout is not None and back > entered + int(timeout * 1e6) + OVERSLEPT
+        if overslept:
             since = entered
+        elif self._overslept:           # a wait that was broken off has not even looked
+            since = self._since[-1]
         else:
-            since = back
-        self._since, self._back = (self._since[1], since), back
+            since = self._back if back - entered < 200 else back
+        self._since.append(since)
+        self._back, self._overslept = back, overslept
         return found
 
     @property
     def since(self) -> int:
-        """Of what is dealt with now: bytes are read in one turn and dealt with in the next."""
+        """Of what is dealt with now: bytes are read in one turn, and dealt with up to two turns later."""
         return min(self._since)
 
 
--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -194,10 +194,10 @@
 async def run(document: AgentDocument, tap: Tap | None = None) -> None:
     """Until signalled to end. Raises OSError where it cannot listen."""
     daemon = Daemon(document, make_log(document.log.format, document.log.level), tap)
-    daemon.start_up()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: daemon.fault(context))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.signalled)
+    daemon.start_up()
     gc.freeze()
     await daemon.ended.wait()
--- a/cartweir/standin/day.py
+++ b/cartweir/standin/day.py
@@ -29,6 +29,7 @@
 agents = {agents}
 zone = {zone}
 seed = {seed}
+tick = 25ms
 list_file = {folder}/agent{me}.list
 [registry]
 address = {registry}
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -389,8 +389,20 @@
 
     def __init__(self, process: asyncio.subprocess.Process, lines: list[dict[str, Any]], address: str) -> None:
         self.process, self.lines, self.address = process, lines, address
+        self.started.append(process)
         self._reader = asyncio.ensure_future(self._read())
 
+    started: list[asyncio.subprocess.Process] = []
+
+    @classmethod
+    def end_all(cls) -> None:
+        """Those that a test that failed has left running."""
+        for process in cls.started:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGKILL)
+        cls.started.clear()
+
     @classmethod
     async def start(cls, file: Path, *before: str) -> Process:
         process = await asyncio.create_subprocess_exec(
