--- a/cartweir/audit/rules.py
+++ b/cartweir/audit/rules.py
@@ -17,6 +17,8 @@
 WATCH, NEWS = "/cartweir.v1.Registry/Watch", "/cartweir.v1.Conveyor/News"
 FETCH, VOTE = "/cartweir.v1.Registry/Fetch", "/cartweir.v1.Conveyor/Vote"
 
+LEAVING = 5_000     # microseconds before its deadline, by the audit's reckoning, at which a client's own clock may end it
+
 
 def kept(path: str) -> bool:
     return path in (WATCH, NEWS, FETCH, VOTE)
@@ -170,6 +172,9 @@
                 self.breach(1, answer, front, f"answered {answer - taken.deadline} us after the client's time was up")
         elif left is not None:
             answer, taken.how = left, "left"
+            if left >= taken.deadline - LEAVING:
+                taken.how = "unanswered"
+                self.breach(1, left, front, "not answered by the time its client left, as its time was up")
         elif killed:
             taken.how = "killed"
             return
@@ -303,9 +308,11 @@
 
 
     def _goes_forward(self, build: int, when: int) -> bool:
-        """The build has been named, and the last word of it is not that it goes back."""
+        """The build has been named, and the last word is not that it goes back; one that was still on trial when
+        the next was named is taken off."""
         told = [stage.phase for at, stage in self.words if at <= when and stage.build == build]
-        return bool(told) and told[-1] not in (pb.GOING_BACK, pb.WITHDRAWN)
+        next_named = any(at <= when and stage.build > build for at, stage in self.words)
+        return bool(told) and (told[-1] == pb.RELEASED or (told[-1] == pb.ON_TRIAL and not next_named))
 
 
 def cold(machines: list[Machine], field_taps: list[Tapped]) -> list[Breach]:
--- a/cartweir/standin/conveyor.py
+++ b/cartweir/standin/conveyor.py
@@ -114,6 +114,7 @@
         """The next build; one that is still on trial is taken off."""
         if self.phase == pb.ON_TRIAL:
             self._back()
+            self._tell()
         self.build, self._votes = build, {}
         self._places = sum(m.build < build for m in self.fleet.machines.values())
         self._enter(0, pb.ON_TRIAL)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,160 @@
+"""The audit is able to fail: for each rule an agent that was broken on purpose is caught by what passed on the
+sockets, and the same scene with the agent as it is keeps all five."""
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import tempfile
+from pathlib import Path
+
+import pytest
+
+from cartweir.agent.clock import monotonic
+from cartweir.agent.daemon import Daemon
+from cartweir.audit.decode import Exchange, Tapped
+from cartweir.audit.rules import Life, Taken
+from cartweir.audit.run import audit
+from cartweir.settings.ini import read_agent
+from cartweir.standin.appliance import Fleet, Make, Quality
+from cartweir.standin.clients import Load
+from cartweir.standin.conveyor import Conveyor
+from cartweir.standin.day import KINDS, SETTINGS
+from cartweir.standin.registry import Registry
+from cartweir.wire.tap import FileTap
+from peers import Log, settings
+from test_calls import sockets
+
+
+async def scene(folder, what, breaking, seconds=2.5):
+    """4 appliances, one agent, clients for so long; `what` happens after 0.8 s. Returns the rules that broke."""
+    multiple = 1.0 if what is cold else 4.0      # overload alone must not hide the one that loves the cold
+    facts = open(folder / "facts.jsonl", "w")
+
+    def note(event, **more):
+        facts.write(json.dumps({"event": event, "time": monotonic(), **more}) + "\n")
+
+    tap, chance = FileTap(folder / "field.tap"), random.Random(3)
+    registry = Registry(tap=tap)
+    fleet = Fleet(registry, Make(cores=3, fall_multiple=multiple), chance, tap, note=note)
+    machines = [fleet.launch(1, warm=True) for _ in range(4)]
+    spare = Registry()
+    conveyor_address = spare.listen_on("127.0.0.1:0")
+    spare.shut()
+    text = SETTINGS.format(me=0, agents=1, zone="", seed=5, folder=folder, registry=registry.listen_on("127.0.0.1:0"),
+                           conveyor=conveyor_address)
+    for old, new in (("drain_grace = 2s", "drain_grace = 300ms"), ("on_votes = 2", "on_votes = 1"),
+                     ("fall_multiple = 4", f"fall_multiple = {multiple}"), ("shares = 0.1, 0.35, 1", "shares = 0.5, 0.75, 1")):
+        text = text.replace(old, new)
+    (folder / "agent0.ini").write_text(text)
+    document = read_agent(folder / "agent0.ini")
+    conveyor = Conveyor(fleet, document.release, 1, note, late=50_000, tap=tap)
+    conveyor.listen_on(conveyor_address)
+    log = Log()
+    daemon = Daemon(document, log, FileTap(folder / "agent0-1.tap"))
+    listed = asyncio.ensure_future(log.next("list"))
+    address = daemon.start_up()
+    await listed
+    breaking(daemon)
+    load = Load(KINDS, [address], 110.0, 4, keys=60, tap=FileTap(folder / "clients.tap"))
+    asyncio.get_running_loop().call_later(0.8, what, fleet, conveyor, machines)
+    await load.run(seconds)
+    load.close()
+    daemon.signalled()
+    await daemon.ended.wait()
+    registry.shut()
+    conveyor.shut()
+    facts.close()
+    return sorted({breach.rule for breach in audit(folder).breaches})
+
+
+def calm(fleet, conveyor, machines):
+    pass
+
+
+def failing(fleet, conveyor, machines):
+    fleet.steer("all", "errors", 0.5)
+
+
+def silent(fleet, conveyor, machines):
+    fleet.steer("all", "silence", 0)
+
+
+def draining(fleet, conveyor, machines):
+    fleet.drain(machines[0])
+
+
+def cold(fleet, conveyor, machines):
+    fleet.launch(1)
+
+
+def offer(fleet, conveyor, machines):
+    fleet.qualities[2] = Quality()
+    conveyor.offer(2)
+
+
+# ---- agents broken on purpose ----
+def never_throttles(daemon):
+    daemon.seat.throttle = lambda inv, retry_after: daemon.seat.calls.pop(inv, None)
+
+
+def repeats_anything(daemon):
+    daemon.seat.engine.agent.may_repeat = lambda inv, appliance: True
+
+
+def hears_of_no_drain(daemon):
+    listed = daemon.seat.listed
+    daemon.seat.listed = lambda how, rows=(): listed(how, [row for row in rows if row.state == "ready"])
+
+
+def loves_the_cold(daemon):
+    agent = daemon.seat.engine.agent
+    agent.warm_up = lambda: setattr(agent, "credit", 1e9)
+
+
+def knows_no_cap(daemon):
+    for exposure in daemon.seat.engine.agent.exposures.values():
+        exposure.room = lambda now, cap: True
+
+
+class Forgetful(dict):
+    def __setitem__(self, key, value):
+        pass
+
+
+def forgets_keys(daemon):
+    agent = daemon.seat.engine.agent
+    agent.bound_keys = Forgetful()
+    staged = agent.on_stage
+    agent.on_stage = lambda stage: (staged(stage), setattr(agent, "bound_keys", Forgetful()))
+
+
+@pytest.mark.parametrize("what, breaking, rule", [
+    (silent, never_throttles, 1), (failing, repeats_anything, 2), (draining, hears_of_no_drain, 3),
+    (cold, loves_the_cold, 4), (offer, knows_no_cap, 5), (offer, forgets_keys, 5)],
+    ids=lambda value: getattr(value, "__name__", str(value)))
+def test_broken_agent_is_caught(tmp_path, what, breaking, rule):
+    @sockets
+    async def play():
+        assert rule in await scene(tmp_path, what, breaking)
+    play()
+
+
+@pytest.mark.parametrize("what", [calm, failing, draining, cold, offer], ids=lambda value: value.__name__)
+def test_the_agent_as_it_is_keeps_all_rules(tmp_path, what):
+    @sockets
+    async def play():
+        assert await scene(tmp_path, what, lambda daemon: None) == []
+    play()
+
+
+def test_late_second_and_following_traffic_is_told():
+    """What no scene of loopback clients shows: they leave as their time is up."""
+    document = read_agent(settings(Path(tempfile.mkdtemp()), "127.0.0.1:9", "127.0.0.1:9"))
+    life = Life(Tapped("agent0-1.tap", 0, 1, []), document, {})
+    answer = (400, {"grpc-status": "0"}, True)
+    front = Exchange("agent0-1.tap", 1, 1, False, "", 0, {}, 10, [answer, answer], [400_000, 500_000])
+    after = Exchange("agent0-1.tap", 2, 1, True, "", 450_000, {})
+    life._one_answer(Taken(front, "view", 300_000, [after]), killed=False)
+    assert [breach.what for breach in life.breaches] == [
+        "answered twice", "answered 100000 us after the client's time was up", "sent 50000 us after the answer"]
