--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -165,7 +165,7 @@
                 self._started[mark] = max(1, now - entry.age) if entry.age else 0
             self._entries[entry.appliance] = entry
             self.links.addresses[entry.appliance] = entry.address
-            rows.append(Row(entry.appliance, entry.build, entry.run, self._started[mark], STATES[entry.state], entry.zone,
+            rows.append(Row(entry.appliance, entry.build, entry.run, self._started[mark], STATES[min(entry.state, pb.GONE)], entry.zone,
                             entry.cell, entry.kind, entry.weight or 1.0))
             if entry.state == pb.GONE:
                 del self._entries[entry.appliance]
@@ -220,6 +220,11 @@
                     self.seat.tallied(Tally(tally.build, operation, tally.count, tally.failures, tally.mean_time, tally.age))
 
     def _stage(self, told: pb.Stage, answer: str | None) -> None:
+        stages = len(self.seat.known["caps"])
+        if told.number >= stages or told.phase >= len(PHASES) or not 0 <= told.cap <= 1:
+            self.note("stage_unknown", level="error", build=told.build, stage=told.number, phase=told.phase,
+                      cap=told.cap, due=f"stage 0 to {stages - 1} of [release], a phase from 0 to 3, a cap from 0 to 1")
+            return
         stage = Stage(told.build, told.number, PHASES[told.phase], told.cap, told.age, answer)
         if self._word != (stage.word, stage.cap):
             self._word = (stage.word, stage.cap)
--- a/cartweir/cli.py
+++ b/cartweir/cli.py
@@ -3,41 +3,25 @@
 
 import asyncio
 import json
-import sys
 from pathlib import Path
-from typing import Annotated, Any, NoReturn, Optional
+from typing import Annotated, Optional
 
 import typer
 
 from . import __version__
+from .cli_standin import app as standin
+from .cli_standin import fail, open_tap
 from .settings.ini import BadInput, read_agent
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="cartweir routes gRPC calls to appliances and judges the builds they run.")
 settings = typer.Typer(no_args_is_help=True, help="Check and explain settings files.")
 app.add_typer(settings, name="settings")
-standin = typer.Typer(no_args_is_help=True, help="Stand-ins to try an agent with, on loopback.")
 app.add_typer(standin, name="standin")
 
 SettingsFile = Annotated[Path, typer.Option("--settings", "-s", help="The agent's INI file.", metavar="FILE")]
 
 
-def _tap(path: Path | None) -> Any:
-    from .wire.tap import FileTap
-
-    if path is None:
-        return None
-    try:
-        return FileTap(path)
-    except OSError as error:
-        fail(f"--tap {path}: {error.strerror}: a file that can be written is due")
-
-
-def fail(text: str, code: int = 2) -> NoReturn:
-    print(text, file=sys.stderr)
-    raise typer.Exit(code)
-
-
 @app.command()
 def agent(file: SettingsFile,
           tap: Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")] = None,
@@ -52,7 +36,7 @@
         fail(str(error))
     try:
         with asyncio.Runner(loop_factory=loop) as runner:
-            runner.run(run(document, _tap(tap)))
+            runner.run(run(document, open_tap(tap)))
     except OSError as error:
         fail(f"{file}: [agent] listen = {document.agent.listen}: {error.strerror or error}: "
              f"an address that is free on this machine is due", 1)
@@ -121,19 +105,6 @@
     raise typer.Exit(1 if report.breaches else 0)
 
 
-@standin.command(name="clients")
-def standin_clients(addresses: Annotated[list[str], typer.Argument(metavar="HOST:PORT...", help="Of the agents.")],
-                    seconds: Annotated[float, typer.Option(help="How long calls are begun.")] = 10.0,
-                    rate: Annotated[float, typer.Option(help="First tries a second.")] = 100.0,
-                    seed: Annotated[int, typer.Option(help="All chance comes from it.")] = 1,
-                    tap: Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")] = None,
-                    ) -> None:
-    """Light clients that call the demo's three operations, with retries and popular keys."""
-    from .standin.day import clients
-
-    print(json.dumps(asyncio.run(clients(addresses, seconds, rate, seed, _tap(tap)))))
-
-
 @app.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/cartweir/cli_standin.py
@@ -0,0 +1,108 @@
+"""Command line of the stand-ins, each a process of its own on loopback."""
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+from typing import Annotated, Any, NoReturn, Optional
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, help="Stand-ins to try an agent with, on loopback.")
+Tap = Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")]
+Seed = Annotated[int, typer.Option(help="All chance comes from it.")]
+
+
+def fail(text: str, code: int = 2) -> NoReturn:
+    typer.echo(text, err=True)
+    raise typer.Exit(code)
+
+
+def open_tap(path: Path | None) -> Any:
+    from .wire.tap import FileTap
+
+    if path is None:
+        return None
+    try:
+        return FileTap(path)
+    except OSError as error:
+        fail(f"--tap {path}: {error.strerror}: a file that can be written is due")
+
+
+def _say(event: str, **facts: Any) -> None:
+    print(json.dumps({"event": event, **facts}), flush=True)
+
+
+def _forever(start: Any) -> None:
+    async def run() -> None:
+        start()
+        await asyncio.Event().wait()
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        fail(f"cannot listen: {error.strerror or error}: a free address on this machine is due", 1)
+    except KeyboardInterrupt:
+        pass
+
+
+@app.command()
+def field(registry: Annotated[str, typer.Option(help="Where the registry listens.")] = "127.0.0.1:7000",
+          conveyor: Annotated[str, typer.Option(help="Where the conveyor listens.")] = "127.0.0.1:7001",
+          steer: Annotated[str, typer.Option(help="Where `standin steer` reaches them.")] = "127.0.0.1:7002",
+          appliances: Annotated[int, typer.Option(min=1, help="How many appliances run from the start.")] = 8,
+          agents: Annotated[int, typer.Option(min=1, help="How many agents may vote.")] = 1,
+          settings: Annotated[Optional[Path], typer.Option(help="An agent's INI file, for its [release] section.")] = None,
+          seed: Seed = 1, tap: Tap = None) -> None:
+    """A registry, a conveyor and appliances in one process, as an agent's whole world."""
+    from .settings.ini import BadInput, read_agent
+    from .settings.schema import ReleaseSection
+    from .standin.appliance import Fleet, Make
+    from .standin.conveyor import Conveyor
+    from .standin.registry import Registry
+    from .standin.steer import Steering
+
+    release = ReleaseSection(shares=(0.1, 0.35, 1.0), caps=(0.14, 0.49, 1.0))
+    if settings is not None:
+        try:
+            release = read_agent(settings).release
+        except BadInput as error:
+            fail(str(error))
+
+    def start() -> None:
+        passed = open_tap(tap)
+        list_ = Registry(late=300_000, tap=passed)
+        list_.listen_on(registry)
+        fleet = Fleet(list_, Make(), random.Random(seed), passed, note=_say)
+        builds = Conveyor(fleet, release, agents, _say, tap=passed)
+        builds.listen_on(conveyor)
+        Steering(list_, fleet, builds).listen_on(steer)
+        for _ in range(appliances):
+            fleet.launch(1, warm=True)
+        _say("started", registry=registry, conveyor=conveyor, steer=steer)
+
+    _forever(start)
+
+
+@app.command()
+def steer(what: Annotated[list[str], typer.Argument(help="Such as: m3 pause 300ms | all errors 0.2 | build 2 errors=0.3 | "
+                                                    "registry fail 1 | conveyor gone 1 | machine launch 1.")],
+          address: Annotated[str, typer.Option(help="Where the field listens for it.")] = "127.0.0.1:7002") -> None:
+    """Set a fault, or offer a build, while the field runs."""
+    from .standin.steer import send
+
+    try:
+        asyncio.run(send(address, " ".join(what)))
+    except ValueError as error:
+        fail(f"steer {' '.join(what)}: {error}")
+
+
+@app.command()
+def clients(addresses: Annotated[list[str], typer.Argument(metavar="HOST:PORT...", help="Of the agents.")],
+            seconds: Annotated[float, typer.Option(help="How long calls are begun.")] = 10.0,
+            rate: Annotated[float, typer.Option(help="First tries a second.")] = 100.0,
+            seed: Seed = 1, tap: Tap = None) -> None:
+    """Light clients that call the demo's three operations, with retries and popular keys."""
+    from .standin.day import clients as run
+
+    print(json.dumps(asyncio.run(run(addresses, seconds, rate, seed, open_tap(tap)))))
--- a/cartweir/settings/schema.py
+++ b/cartweir/settings/schema.py
@@ -75,8 +75,8 @@
     control: Annotated[Literal["any", "share", "timer"], "any, share or timer"] = Field(
         "any", description="what moves a stage on: any one vote, a share of all agents, or a timer that votes can hold")
     in_place: Flag = Field(False, description="earlier appliances drain as soon as their successor runs")
-    shares: Shares = Field((), description="part of the fleet that runs the new build, by stage")
-    caps: Shares = Field((), description="most of an agent's invocations at a build on trial, by stage")
+    shares: Shares = Field(min_length=1, description="part of the fleet that runs the new build, by stage")
+    caps: Shares = Field(min_length=1, description="most of an agent's invocations at a build on trial, by stage")
     window: Span = Field(4_000_000, description="over which dispatches at a build on trial are counted")
     free: Number = Field(1.0, description="dispatches in the window beyond the cap's share")
     per_operation: Flag = Field(False, description="counted for each operation by itself")
@@ -160,7 +160,7 @@
     conveyor: ConveyorSection
     allowed: AllowedSection = AllowedSection()
     appliances: AppliancesSection = AppliancesSection()
-    release: ReleaseSection = ReleaseSection()
+    release: ReleaseSection
     wire: WireSection = WireSection()
     log: LogSection = LogSection()
     peers: dict[Annotated[int, Field(ge=0)], Address] = Field({}, description="address of each other agent, by number")
--- a/cartweir/standin/registry.py
+++ b/cartweir/standin/registry.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 from ..agent.clock import monotonic
 from ..proto import agent_pb2 as pb
@@ -71,12 +70,3 @@
             for link in list(self.links):
                 link.close("the registry fails")
 
-
-async def steer(service: Any, request: Request) -> bytes:
-    """Handler of /cartweir.standin/Steer: a text 'who what value' for service.steer()."""
-    try:
-        who, what, value = request.message.decode().split()
-        service.steer(who, what, float(value))
-    except ValueError as error:
-        raise CallError(Status.INVALID_ARGUMENT, str(error)) from None
-    return b""
