--- a/cartweir/agent/links.py
+++ b/cartweir/agent/links.py
@@ -1,7 +1,6 @@
 """The appliances' side: connections to each, and the attempts and probes that run on them."""
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -15,7 +14,7 @@
 from ..proto import health_pb2
 from ..wire import grpc
 from ..wire.grpc import BodyWalk, Headers, Malformed
-from ..wire.link import Link, Tap, connect, split_address
+from ..wire.link import Link, Tap, connect, spawn, split_address
 from ..wire.session import Limits, Stream
 from . import names
 from .front import ClientCall
@@ -116,7 +115,7 @@
         streams, busy = self.links.reach.streams, sum(not link.suspect for link in self.open)
         while len(self._waiting) > self._opening * streams and busy + self._opening < self.links.reach.connections:
             self._opening += 1
-            asyncio.ensure_future(self._connect())
+            spawn(self._connect())
 
     async def _connect(self) -> None:
         """A connection counts once the other side's settings have come: a process that stands still has its
--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -18,6 +18,7 @@
 from ..roster import Row
 from ..wire.calls import CallError, Channel
 from ..wire.grpc import Malformed, Status
+from ..wire.link import spawn
 from .links import Links
 from .names import ANSWERS, CHOICES, PHASES, STATES
 from .seat import Seat
@@ -92,7 +93,7 @@
             entry.SerializeToString().hex() for entry in self._entries.values()]})
         self._to_keep = text
         if self._keeping is None or self._keeping.done():
-            self._keeping = asyncio.ensure_future(self._keep_all())
+            self._keeping = spawn(self._keep_all())
 
     async def _keep_all(self) -> None:
         while self._to_keep is not None:
@@ -105,7 +106,7 @@
     # ---- the watch ----
     def subscribe(self) -> None:
         if self._watch is None or self._watch.done():
-            self._watch = asyncio.ensure_future(self._watching())
+            self._watch = spawn(self._watching())
 
     async def _watching(self) -> None:
         while True:
@@ -134,7 +135,7 @@
             await asyncio.sleep(self.waits.again())
 
     def fetch(self) -> None:
-        asyncio.ensure_future(self._fetching())
+        spawn(self._fetching())
 
     async def _fetching(self) -> None:
         try:
@@ -185,7 +186,7 @@
         self._word: Any = None
 
     def start(self) -> None:
-        asyncio.ensure_future(self._listening())
+        spawn(self._listening())
 
     async def _listening(self) -> None:
         while True:
@@ -232,7 +233,7 @@
         self.seat.staged(stage)
 
     def vote(self, build: int, stage: int, verdict: str) -> None:
-        asyncio.ensure_future(self._voting(build, stage, verdict))
+        spawn(self._voting(build, stage, verdict))
 
     async def _voting(self, build: int, stage: int, verdict: str) -> None:
         ballot = pb.Ballot(agent=self.hello.agent, build=build, stage=stage, choice=CHOICES[verdict])
@@ -262,7 +263,7 @@
         text = pb.Figures(sender=self.me, figures=figures).SerializeToString()
         for number, channel in self.channels.items():
             if to in (None, number):
-                asyncio.ensure_future(self._telling(number, channel, text))
+                spawn(self._telling(number, channel, text))
 
     async def _telling(self, number: int, channel: Channel, text: bytes) -> None:
         try:
--- a/cartweir/audit/rules.py
+++ b/cartweir/audit/rules.py
@@ -78,13 +78,17 @@
 class Life:
     """One process of an agent: its news, what it took, what it sent."""
 
-    def __init__(self, tapped: Tapped, document: AgentDocument, deadlines: dict[str, int]) -> None:
+    def __init__(self, tapped: Tapped, document: AgentDocument, deadlines: dict[str, int],
+                 before: Life | None = None) -> None:
+        """before: the same agent's last life, whose list this one may have found on disk."""
         self.tapped, self.document = tapped, document
         self.breaches: list[Breach] = []
         self.turn = 2 * document.agent.tick         # frames closer than this may have been dealt with in one turn
         self.operations = {path: name for name, o in document.operations.items() for path in o.methods}
         self.entries: dict[str, list[tuple[int, pb.Entry]]] = defaultdict(list)     # by appliance
         self.words: list[tuple[int, pb.Stage]] = []
+        if before is not None and document.agent.list_file:
+            self.entries.update({ident: told[-1:] for ident, told in before.entries.items()})
         self._news()
         by_try: dict[str, Taken] = {}
         self.taken: list[Taken] = []
--- a/cartweir/audit/run.py
+++ b/cartweir/audit/run.py
@@ -60,7 +60,9 @@
     facts = [json.loads(line) for line in _lines(folder / "facts.jsonl")]
     deadlines = {e.asked[TRY.decode()]: e.began for t in taps["clients"] for e in t.exchanges if TRY.decode() in e.asked}
     killed = {fact["tap"] for fact in facts if fact["event"] == "killed"}
-    lives = [_life(folder, tapped, deadlines) for tapped in taps["agent"]]
+    lives: list[Life] = []
+    for tapped in taps["agent"]:
+        lives.append(_life(folder, tapped, deadlines, lives[-1] if lives else None))
     for life in lives:
         life.check(life.tapped.name in killed)
     machines = [Machine(**{key: fact[key] for key in Machine.__dataclass_fields__})
@@ -77,12 +79,13 @@
         raise BadInput([f"{path}: missing: a folder written by `cartweir demo --keep` is due"]) from None
 
 
-def _life(folder: Path, tapped: Tapped, deadlines: dict[str, int]) -> Life:
+def _life(folder: Path, tapped: Tapped, deadlines: dict[str, int], last: Life | None) -> Life:
     """agent1-2.tap is the second life of the agent with agent1.ini."""
-    name = re.match(r"agent\d+", tapped.name)
+    name = re.match(r"agent\d+-", tapped.name)
     if name is None:
         raise BadInput([f"{folder / tapped.name}: agentN-LIFE.tap is due"])
-    return Life(tapped, read_agent(folder / f"{name[0]}.ini"), deadlines)
+    before = last if last is not None and last.tapped.name.startswith(name[0]) else None
+    return Life(tapped, read_agent(folder / f"{name[0][:-1]}.ini"), deadlines, before)
 
 
 def _table(lives: list[Life]) -> dict[tuple[str, str], Counter]:
--- a/cartweir/cli.py
+++ b/cartweir/cli.py
@@ -91,6 +91,29 @@
     raise typer.Exit(1 if report.breaches else 0)
 
 
+@app.command()
+def replay(file: Annotated[Path, typer.Argument(metavar="DAY.json", help="As the bench's `draw` writes it.")],
+           report: Annotated[Optional[Path], typer.Option(help="The bench's own `run --json` of the day.")] = None,
+           machines: Annotated[int, typer.Option(min=2, max=60, help="At most so many of the day's machines.")] = 12,
+           agents: Annotated[int, typer.Option(min=1, max=20, help="At most so many of its agents.")] = 4,
+           seed: Annotated[int, typer.Option(help="Of arrivals and machines.")] = 1,
+           keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and taps in this folder.")] = None) -> None:
+    """Play the kinds of trouble of a bench day at real speed through real agents, scaled down."""
+    import tempfile
+
+    from .standin.replay import Replay, play
+
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
+        try:
+            found, text = play(Replay(file, keep or Path(scratch), seed, print, machines, agents), report)
+        except BadInput as error:
+            fail(str(error))
+        except OSError as error:
+            fail(f"replay: {error}", 1)
+    print(f"\n{found.text()}\n\n{text}")
+    raise typer.Exit(1 if found.breaches else 0)
+
+
 @app.command(name="audit")
 def audit_command(folder: Annotated[Path, typer.Argument(metavar="DIR", help="As `cartweir demo --keep` leaves it.")],
                   as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False) -> None:
--- a/cartweir/cli_standin.py
+++ b/cartweir/cli_standin.py
@@ -101,8 +101,13 @@
 def clients(addresses: Annotated[list[str], typer.Argument(metavar="HOST:PORT...", help="Of the agents.")],
             seconds: Annotated[float, typer.Option(help="How long calls are begun.")] = 10.0,
             rate: Annotated[float, typer.Option(help="First tries a second.")] = 100.0,
+            like: Annotated[Optional[Path], typer.Option(help="JSON: kinds of calls, retries, keys, try_share.")] = None,
             seed: Seed = 1, tap: Tap = None) -> None:
     """Light clients that call the demo's three operations, with retries and popular keys."""
     from .standin.day import clients as run
 
-    print(json.dumps(asyncio.run(run(addresses, seconds, rate, seed, open_tap(tap)))))
+    try:
+        shape = json.loads(like.read_text()) if like else None
+        print(json.dumps(asyncio.run(run(addresses, seconds, rate, seed, open_tap(tap), shape))))
+    except (OSError, ValueError, TypeError, AttributeError) as error:
+        fail(f"clients: {error}: addresses as host:port, and --like as `cartweir replay --keep` writes it, are due")
--- a/cartweir/standin/appliance.py
+++ b/cartweir/standin/appliance.py
@@ -57,6 +57,7 @@
     errors: float = 0.0
     lose: float = 0.0               # share whose work is done and whose answer never comes
     deaf: float = 0.0               # share of probes that get no answer
+    slow: float = 1.0               # times the work, whatever the build
 
 
 class Appliance(Service):
@@ -78,6 +79,7 @@
         self._marks: dict[bytes, int] = {}
         self._sent: deque[tuple[int, int]] = deque()    # when and how much work came while cold
         self.note: Any = lambda event, **facts: None
+        self.fleet: Any = None          # where it stands
         self.on_wrong: Any = None       # called with agent, operation and self when an answer was wrong
         self.handlers["/grpc.health.v1.Health/Check"] = self._check
         self.default = self._serve
@@ -120,7 +122,7 @@
                 if request.gone:
                     return None
                 if not repeat:
-                    slow = quality.slow if bad else 1.0
+                    slow = self.faults.slow * (quality.slow if bad else 1.0)
                     await asyncio.sleep(work * slow / self.make.speed / self.warmth() / 1e6)
                     self.done += 1
             if mark is not None and not repeat:
@@ -175,6 +177,22 @@
             for stream, address in kept:
                 super().handle_stream(stream, address)
 
+    def steer(self, what: str, value: float) -> None:
+        """pause or silence (value: microseconds; 0: for good), restart, or one of Faults. Raises ValueError."""
+        if what == "pause":
+            self.pause(int(value))
+        elif what == "silence":
+            self.silence()
+            if value:
+                asyncio.get_running_loop().call_later(value / 1e6, self.fleet.restart, self)
+        elif what == "restart":
+            self.fleet.restart(self)
+        elif what in (names := [f.name for f in fields(Faults)]):
+            setattr(self.faults, what, float(value))
+        else:
+            raise ValueError(f"no fault {what!r}: one of pause, silence, restart, {', '.join(names)} is due")
+        self.note("fault", who=self.ident, what=what, value=value)
+
     def silence(self) -> None:
         """No reset, no answer, until stopped."""
         self.down = True
@@ -203,7 +221,7 @@
         ident = ident or f"m{self.count}"
         machine = Appliance(ident, build, self.qualities.get(build, Quality()), self.make, self.chance,
                             self.zones[self.count % len(self.zones)], warm, self.tap)
-        machine.on_wrong, machine.note = self.on_wrong, self.note
+        machine.on_wrong, machine.note, machine.fleet = self.on_wrong, self.note, self
         machine.address = machine.listen_on("127.0.0.1:0")
         self.machines[ident] = machine
         if not warm:
@@ -237,22 +255,9 @@
         return self.launch(machine.build, ident=machine.ident)
 
     def steer(self, who: str, what: str, value: float) -> None:
-        """A fault by name: pause or silence (value: microseconds), restart, or a share of errors, lose, deaf.
-        who: an ident or 'all'. Raises ValueError."""
+        """A fault by name at one machine or at 'all'. Raises ValueError."""
         machines = list(self.machines.values()) if who == "all" else [self.machines[who]] if who in self.machines else []
         if not machines:
             raise ValueError(f"no machine {who!r}: one of {', '.join(self.machines)} is due")
         for machine in machines:
-            if what == "pause":
-                machine.pause(int(value))
-            elif what == "silence":
-                machine.silence()
-                if value:
-                    asyncio.get_running_loop().call_later(value / 1e6, self.restart, machine)
-            elif what == "restart":
-                self.restart(machine)
-            elif what in (names := [f.name for f in fields(Faults)]):
-                setattr(machine.faults, what, float(value))
-            else:
-                raise ValueError(f"no fault {what!r}: one of pause, silence, restart, {', '.join(names)} is due")
-        self.note("fault", who=who, what=what, value=value)
+            machine.steer(what, value)
--- a/cartweir/standin/clients.py
+++ b/cartweir/standin/clients.py
@@ -40,6 +40,7 @@
     seed: int = 1
     keys: int = 20_000
     retries: int = 2
+    try_share: float = 0.4          # a try is given up after at least this part of the time limit
     connections: int = 2            # to each agent
     tap: Tap | None = None
     counts: dict[tuple[str, str], int] = field(default_factory=Counter)     # by operation and end
@@ -82,7 +83,7 @@
             left = began + kind.time_limit - monotonic()
             if left < 20_000:
                 break
-            patience = min(left, int(kind.time_limit * chance.uniform(0.4, 1.0)))
+            patience = min(left, int(kind.time_limit * chance.uniform(self.try_share, 1.0)))
             how, pushback = await self._try(kind, address, patience, work, key, mark, number, chance)
             self.counts[kind.operation, how] += 1
             if how == "succeeded":
--- a/cartweir/standin/conveyor.py
+++ b/cartweir/standin/conveyor.py
@@ -12,7 +12,7 @@
 from ..proto import agent_pb2 as pb
 from ..settings.schema import ReleaseSection
 from ..wire.calls import Request, Service
-from ..wire.link import Tap
+from ..wire.link import Tap, spawn
 from .appliance import Appliance, Fleet
 
 OK, MOOT, FULL, ERROR = range(4)
@@ -43,7 +43,7 @@
         self.handlers["/cartweir.v1.Conveyor/News"] = self._listen
         self.handlers["/cartweir.v1.Conveyor/Vote"] = self._vote
         self.handlers["/cartweir.v1.Conveyor/Report"] = self._report
-        asyncio.ensure_future(self._run())
+        spawn(self._run())
 
     # ---- what agents are told ----
     def _stage(self) -> pb.Stage:
--- a/cartweir/standin/day.py
+++ b/cartweir/standin/day.py
@@ -98,6 +98,13 @@
         self.addresses: dict[int, str] = {}
         self._lives: dict[int, int] = {}
         self._began = monotonic()
+        # a day of another kind has others
+        self.make, self.zones, self.registry_late = Make(), ("north", "south", "east"), 300_000
+        self.clients_of: dict[str, Any] | None = None
+        self.stages: list[dict[str, Any]] = []      # what the conveyor entered, and when
+
+    def settings_text(self, **of_agent: Any) -> str:
+        return SETTINGS.format(agents=self.agents, **of_agent)
 
     # ---- facts ----
     def note(self, event: str, **facts: Any) -> None:
@@ -105,6 +112,8 @@
             return                      # a machine that is stopped behind the day's end
         self._facts.write(json.dumps({"event": event, "time": monotonic(), **facts}) + "\n")
         self._facts.flush()
+        if event == "stage":
+            self.stages.append({"time": monotonic(), **facts})
         if event in ("stage", "vote", "fault", "killed", "fell"):
             self.say(f"{(monotonic() - self._began) / 1e6:6.2f} s  {event} " + ", ".join(f"{k} {v}" for k, v in facts.items()))
 
@@ -113,10 +122,9 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self._facts = open(self.folder / "facts.jsonl", "w", encoding="utf-8")
         tap = FileTap(self.folder / "field.tap")
-        self.registry = Registry(late=300_000, tap=tap)
+        self.registry = Registry(late=self.registry_late, tap=tap)
         registry = self.registry.listen_on("127.0.0.1:0")
-        zones = ("north", "south", "east")
-        self.fleet = Fleet(self.registry, Make(), self.chance, tap, zones, note=self.note)
+        self.fleet = Fleet(self.registry, self.make, self.chance, tap, self.zones, note=self.note)
         self.fleet.on_wrong = self._wrong
         for _ in range(self.count):
             self.fleet.launch(1, warm=True)
@@ -124,8 +132,8 @@
         conveyor = spare.listen_on("127.0.0.1:0")
         spare.shut()
         for me in range(self.agents):
-            text = SETTINGS.format(me=me, agents=self.agents, zone=zones[me % 3], seed=self.seed * 100 + me,
-                                   folder=self.folder, registry=registry, conveyor=conveyor)
+            text = self.settings_text(me=me, zone=self.zones[me % len(self.zones)], seed=self.seed * 100 + me,
+                                      folder=self.folder, registry=registry, conveyor=conveyor)
             (self.folder / f"agent{me}.ini").write_text(text)
         release = read_agent(self.folder / "agent0.ini").release
         self.conveyor = Conveyor(self.fleet, release, self.agents, self.note, tap=tap)
@@ -229,8 +237,12 @@
 
     async def _clients(self, part: float, rate: float, seed: int) -> None:
         """A process of light clients; its counts are said when it ends."""
+        more = []
+        if self.clients_of is not None:
+            (self.folder / "clients.json").write_text(json.dumps(self.clients_of))
+            more = ["--like", str(self.folder / "clients.json")]
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cartweir", "standin", "clients", *(a for _, a in sorted(self.addresses.items())),
+            sys.executable, "-m", "cartweir", "standin", "clients", *more, *(a for _, a in sorted(self.addresses.items())),
             "--seconds", str(part * self.seconds), "--rate", str(rate), "--seed", str(seed),
             "--tap", str(self.folder / f"clients-{seed}.tap"), stdout=asyncio.subprocess.PIPE,
             cwd=Path(__file__).parents[2])
@@ -257,11 +269,12 @@
         return lines
 
 
-async def clients(addresses: list[str], seconds: float, rate: float, seed: int, tap: FileTap | None) -> dict[str, int]:
-    """The light clients of the day's kinds, as a process of their own runs them."""
-    load = Load(KINDS, addresses, rate, seed, tap=tap)
+async def clients(addresses: list[str], seconds: float, rate: float, seed: int, tap: FileTap | None,
+                  like: dict[str, Any] | None = None) -> dict[str, int]:
+    """Light clients as a process of their own runs them; like: kinds, retries, keys, try_share, else the day's."""
+    more = dict(like or {})
+    kinds = [Kind(**kind) for kind in more.pop("kinds", ())] or KINDS
+    load = Load(kinds, addresses, rate, seed, tap=tap, **more)
     await load.run(seconds)
     load.close()
     return {f"{operation} {how}": count for (operation, how), count in sorted(load.counts.items())}
-
-
--- a/cartweir/wire/calls.py
+++ b/cartweir/wire/calls.py
@@ -12,7 +12,7 @@
 
 from . import grpc
 from .grpc import BodyWalk, Headers, Malformed, Status
-from .link import Link, Tap, connect, split_address
+from .link import Link, Tap, connect, spawn, split_address
 from .session import LOST, REFUSED, UNSEEN, Limits, Stream
 
 Metadata = Iterable[tuple[bytes, bytes]]
@@ -244,7 +244,7 @@
         if handler is None:
             request.finish(Status.UNIMPLEMENTED, f"no method {path}")
         else:
-            asyncio.ensure_future(self.service.handle(handler, request))
+            spawn(self.service.handle(handler, request))
 
     def _refuse(self, stream: Stream, status: int, text: str) -> None:
         stream.send_headers([*grpc.answer_headers(), *grpc.trailers(status, text)], end=True)
--- a/cartweir/wire/link.py
+++ b/cartweir/wire/link.py
@@ -4,7 +4,7 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Coroutine
 from typing import Protocol
 
 from tornado.ioloop import IOLoop
@@ -168,4 +168,12 @@
     return host.strip("[]"), int(port)
 
 
-Accept = Callable[[IOStream], None]
+_running: set[asyncio.Task] = set()
+
+
+def spawn(work: Coroutine) -> asyncio.Task:
+    """A task that is kept until it has ended: the loop itself holds tasks but weakly."""
+    task = asyncio.ensure_future(work)
+    _running.add(task)
+    task.add_done_callback(_running.discard)
+    return task
