Stand-ins as processes of their own; lists asked for and messages on sockets; 1,000 connections

Registry, appliances and conveyor ran only together. Each is now a command of its own: appliances enter themselves at the registry, the conveyor launches and stops machines by texts to their process. Tests play a list that must be asked for, through an outage, and two agents that add up their counts by messages; 1,000 connections with a call each. The relay benchmark measures memory before the heap has grown.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -292,6 +292,9 @@
     with tempfile.TemporaryDirectory() as folder:
         agent = await asyncio.to_thread(AgentPart, Path(folder), where)
         relays = {"agent": agent, "grpc.aio relay": Part("aio", backend.address), "h2 relay": Part("h2", backend.address)}
+        # memory first, while the heap has not grown by anything else
+        memory = {name: round(await idle_memory(part, part.address, 200), 1) for name, part in relays.items()}
+        held = {name: round(await held_memory(part, 400), 1) for name, part in relays.items()}
         rows = []
         for size in (200, 65_536):
             for at_once in (1, 32, 256):
@@ -301,8 +304,6 @@
                     found = await asyncio.to_thread(measure, part, part.address, count, at_once, size)
                     rows.append({"size": size, "at_once": at_once, "relay": name, "cpu_us": round(found["cpu"]),
                                  "p50_added_us": found["p50"] - direct["p50"], "p99_added_us": found["p99"] - direct["p99"]})
-        memory = {name: round(await idle_memory(part, part.address, 200), 1) for name, part in relays.items()}
-        held = {name: round(await held_memory(part, 400), 1) for name, part in relays.items()}
         for part in (*relays.values(), backend):
             part.end()
     alone = round(decisions_alone(20_000))
--- a/cartweir/cli_standin.py
+++ b/cartweir/cli_standin.py
@@ -46,6 +46,18 @@
         pass
 
 
+def _release(file: Path | None) -> Any:
+    from .settings.ini import BadInput, read_agent
+    from .settings.schema import ReleaseSection
+
+    if file is None:
+        return ReleaseSection(shares=(0.1, 0.35, 1.0), caps=(0.14, 0.49, 1.0))
+    try:
+        return read_agent(file).release
+    except BadInput as error:
+        fail(str(error))
+
+
 @app.command()
 def field(registry: Annotated[str, typer.Option(help="Where the registry listens.")] = "127.0.0.1:7000",
           conveyor: Annotated[str, typer.Option(help="Where the conveyor listens.")] = "127.0.0.1:7001",
@@ -55,19 +67,12 @@
           settings: Annotated[Optional[Path], typer.Option(help="An agent's INI file, for its [release] section.")] = None,
           seed: Seed = 1, tap: Tap = None) -> None:
     """A registry, a conveyor and appliances in one process, as an agent's whole world."""
-    from .settings.ini import BadInput, read_agent
-    from .settings.schema import ReleaseSection
     from .standin.appliance import Fleet, Make
     from .standin.conveyor import Conveyor
     from .standin.registry import Registry
     from .standin.steer import Steering
 
-    release = ReleaseSection(shares=(0.1, 0.35, 1.0), caps=(0.14, 0.49, 1.0))
-    if settings is not None:
-        try:
-            release = read_agent(settings).release
-        except BadInput as error:
-            fail(str(error))
+    release = _release(settings)
 
     def start() -> None:
         passed = open_tap(tap)
@@ -84,6 +89,66 @@
     _forever(start)
 
 
+@app.command()
+def registry(listen: Annotated[str, typer.Option(help="Where it listens.")] = "127.0.0.1:7000",
+             steer: Annotated[str, typer.Option(help="Where `standin steer` reaches it.")] = "127.0.0.1:7010",
+             late: Annotated[str, typer.Option(help="Between a change and the word of it.")] = "300ms", tap: Tap = None) -> None:
+    """A registry by itself; appliances enter themselves."""
+    from .settings.units import parse_time
+    from .standin.registry import Registry
+    from .standin.steer import Steering
+
+    def start() -> None:
+        list_ = Registry(late=parse_time(late), tap=open_tap(tap))
+        Steering(list_, None, None).listen_on(steer)
+        _say("started", listen=list_.listen_on(listen), steer=steer)
+
+    _forever(start)
+
+
+@app.command()
+def appliance(registry: Annotated[str, typer.Option(help="Where they enter themselves.")] = "127.0.0.1:7000",
+              steer: Annotated[str, typer.Option(help="Where `standin steer` reaches them.")] = "127.0.0.1:7002",
+              count: Annotated[int, typer.Option(min=1, help="How many run from the start.")] = 8,
+              build: Annotated[int, typer.Option(min=1, help="The build that they run.")] = 1,
+              seed: Seed = 1, tap: Tap = None) -> None:
+    """Appliances by themselves, on ports of their own."""
+    from .standin.appliance import Fleet, Make
+    from .standin.steer import RemoteRegistry, Steering
+
+    def start() -> None:
+        fleet = Fleet(RemoteRegistry(registry), Make(), random.Random(seed), open_tap(tap), note=_say)
+        Steering(None, fleet, None).listen_on(steer)
+        for _ in range(count):
+            fleet.launch(build, warm=True)
+        _say("started", steer=steer)
+
+    _forever(start)
+
+
+@app.command()
+def conveyor(listen: Annotated[str, typer.Option(help="Where it listens.")] = "127.0.0.1:7001",
+             registry: Annotated[str, typer.Option(help="Where the list is.")] = "127.0.0.1:7000",
+             appliances: Annotated[str, typer.Option(help="Where `standin appliance` is steered.")] = "127.0.0.1:7002",
+             steer: Annotated[str, typer.Option(help="Where `standin steer` reaches it.")] = "127.0.0.1:7011",
+             agents: Annotated[int, typer.Option(min=1, help="How many agents may vote.")] = 1,
+             settings: Annotated[Optional[Path], typer.Option(help="An agent's INI file, for its [release] section.")] = None,
+             tap: Tap = None) -> None:
+    """A conveyor by itself; it launches and stops machines at `standin appliance`."""
+    from .standin.appliance import Make
+    from .standin.conveyor import Conveyor
+    from .standin.steer import RemoteFleet, Steering
+
+    release = _release(settings)
+
+    def start() -> None:
+        builds = Conveyor(RemoteFleet(appliances, registry, Make()), release, agents, _say, tap=open_tap(tap))
+        Steering(None, None, builds).listen_on(steer)
+        _say("started", listen=builds.listen_on(listen), steer=steer)
+
+    _forever(start)
+
+
 @app.command()
 def steer(what: Annotated[list[str], typer.Argument(help="Such as: m3 pause 300ms | all errors 0.2 | build 2 errors=0.3 | "
                                                     "registry fail 1 | conveyor gone 1 | machine launch 1.")],
--- a/cartweir/standin/registry.py
+++ b/cartweir/standin/registry.py
@@ -9,6 +9,8 @@
 from ..wire.grpc import Status
 from ..wire.link import Tap
 
+PUT = "/cartweir.standin.Registry/Put"      # how appliances of other processes enter themselves
+
 
 class Registry(Service):
     def __init__(self, late: int = 0, tap: Tap | None = None) -> None:
@@ -21,6 +23,7 @@
         self._watches: set[Request] = set()
         self.handlers["/cartweir.v1.Registry/Fetch"] = self._fetch
         self.handlers["/cartweir.v1.Registry/Watch"] = self._watch
+        self.handlers[PUT] = self._enter
 
     def put(self, entry: pb.Entry, started: int = 0) -> None:
         """A change; started: on this machine's monotonic clock, 0 for long ago."""
@@ -29,6 +32,11 @@
         else:
             self._put(entry, started)
 
+    async def _enter(self, request: Request) -> bytes:
+        entry = pb.Entry.FromString(request.message)
+        self.put(entry, monotonic() - entry.age if entry.age else 0)
+        return b""
+
     def _put(self, entry: pb.Entry, started: int) -> None:
         self.version += 1
         self._started[entry.appliance] = started
--- a/cartweir/standin/steer.py
+++ b/cartweir/standin/steer.py
@@ -1,20 +1,26 @@
 """Steers a running field by short texts over one call."""
 from __future__ import annotations
 
-from dataclasses import fields
+import asyncio
+from dataclasses import dataclass, fields
 
+from ..agent.clock import monotonic
+from ..proto import agent_pb2 as pb
 from ..settings.units import parse_time
 from ..wire.calls import CallError, Channel, Request, Service
 from ..wire.grpc import Status
-from .appliance import Fleet, Quality
+from ..wire.link import spawn
+from .appliance import Fleet, Make, Quality
 from .conveyor import Conveyor
-from .registry import Registry
+from .registry import PUT, Registry
 
 PATH = "/cartweir.standin.Field/Steer"
 
 
 class Steering(Service):
-    def __init__(self, registry: Registry, fleet: Fleet, conveyor: Conveyor) -> None:
+    """Of those that run in this process."""
+
+    def __init__(self, registry: Registry | None, fleet: Fleet | None, conveyor: Conveyor | None) -> None:
         super().__init__()
         self.registry, self.fleet, self.conveyor = registry, fleet, conveyor
         self.handlers[PATH] = self._steer
@@ -29,21 +35,27 @@
     def do(self, words: list[str]) -> None:
         """Raises ValueError with what would be right."""
         match words:
-            case ["registry", "fail", flag]:
+            case ["registry", "fail", flag] if self.registry:
                 self.registry.fail(flag == "1")
-            case ["conveyor", "gone", flag]:
+            case ["conveyor", "gone", flag] if self.conveyor:
                 self.conveyor.gone(flag == "1")
-            case ["machine", "launch", build]:
+            case ["machine", "launch", build] if self.fleet:
                 self.fleet.launch(_number(build, int))
-            case ["build", number, *parts]:
+            case ["machine", ("drain" | "stop") as what, who] if self.fleet:
+                if who not in self.fleet.machines:
+                    raise ValueError(f"no machine {who!r}: one of {', '.join(self.fleet.machines)} is due")
+                getattr(self.fleet, what)(self.fleet.machines[who])
+            case ["quality", number, *parts] if self.fleet:
                 self.fleet.qualities[_number(number, int)] = _quality(parts)
+            case ["build", number, *parts] if self.conveyor:
+                self.conveyor.fleet.qualities[_number(number, int)] = _quality(parts)
                 self.conveyor.offer(_number(number, int))
-            case [who, ("pause" | "silence") as what, time]:
+            case [who, ("pause" | "silence") as what, time] if self.fleet:
                 self.fleet.steer(who, what, parse_time(time) if time != "0" else 0)
-            case [who, what, value]:
+            case [who, what, value] if self.fleet:
                 self.fleet.steer(who, what, _number(value, float))
             case _:
-                raise ValueError("three words are due, or build NUMBER and name=value pairs")
+                raise ValueError("three words are due that concern what runs here, or build NUMBER and name=value pairs")
 
 
 def _number(text: str, kind: type) -> float:
@@ -64,6 +76,94 @@
     return Quality(**values)
 
 
+class RemoteRegistry:
+    """A registry in another process, as a fleet sees it."""
+
+    def __init__(self, address: str) -> None:
+        self.channel = Channel(address, 1_000_000)
+        self._order: asyncio.Queue = asyncio.Queue()
+        spawn(self._tell())
+
+    def put(self, entry: pb.Entry, started: int = 0) -> None:
+        entry.age = max(1, monotonic() - started) if started else 0
+        self._order.put_nowait(entry.SerializeToString())
+
+    async def _tell(self) -> None:
+        """In order, each until it has been heard."""
+        while True:
+            entry = await self._order.get()
+            while True:
+                try:
+                    await self.channel.unary(PUT, entry, 1_000_000)
+                    break
+                except CallError:
+                    await asyncio.sleep(0.2)
+
+
+@dataclass(eq=False)
+class RemoteMachine:
+    ident: str
+    build: int
+    leaving: bool = False
+
+
+class RemoteFleet:
+    """Machines in another process, as a conveyor sees them: by the registry's list and by texts to their process."""
+
+    def __init__(self, steer: str, registry: str, make: Make) -> None:
+        self.channel, self.registry, self.make = Channel(steer, 1_000_000), Channel(registry, 1_000_000), make
+        self.machines: dict[str, RemoteMachine] = {}
+        self.qualities = _Told(self)
+        spawn(self._watch())
+
+    def say(self, text: str) -> None:
+        async def send_it() -> None:
+            try:
+                await self.channel.unary(PATH, text.encode(), 2_000_000)
+            except CallError as error:
+                print(f"steer {text}: {error.text}", flush=True)
+        spawn(send_it())
+
+    def launch(self, build: int) -> None:
+        self.say(f"machine launch {build}")
+
+    def drain(self, machine: RemoteMachine) -> None:
+        self.say(f"machine drain {machine.ident}")
+
+    def stop(self, machine: RemoteMachine) -> None:
+        self.say(f"machine stop {machine.ident}")
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                async for message in self.registry.stream("/cartweir.v1.Registry/Watch", b""):
+                    listing = pb.Listing.FromString(message)
+                    if listing.whole:
+                        self.machines.clear()
+                    for entry in listing.entries:
+                        if entry.state == pb.GONE:
+                            self.machines.pop(entry.appliance, None)
+                        elif entry.appliance not in self.machines:
+                            self.machines[entry.appliance] = RemoteMachine(entry.appliance, entry.build)
+            except CallError:
+                pass
+            await asyncio.sleep(0.2)
+
+
+class _Told(dict):
+    """Qualities of builds, told to the process of the machines as they are set."""
+
+    def __init__(self, fleet: RemoteFleet) -> None:
+        super().__init__()
+        self.fleet = fleet
+
+    def __setitem__(self, build: int, quality: Quality) -> None:
+        super().__setitem__(build, quality)
+        parts = " ".join(f"{f.name}={getattr(quality, f.name)}{'us' if f.name == 'late' else ''}" for f in fields(Quality)
+                         if getattr(quality, f.name) != f.default)
+        self.fleet.say(f"quality {build} {parts}")
+
+
 async def send(address: str, text: str) -> None:
     """Raises ValueError with the field's own words."""
     channel = Channel(address, 1_000_000)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -364,10 +364,12 @@
 
 
 @contextlib.asynccontextmanager
-async def rig(folder: Path, *acts: Callable[..., Any], conveyor: str = "127.0.0.1:9", **more: str) -> AsyncIterator[Rig]:
-    """An agent with a registry and one appliance an act; without a conveyor unless one is named."""
+async def rig(folder: Path, *acts: Callable[..., Any], conveyor: str = "127.0.0.1:9", ask: bool = False, **more: str,
+              ) -> AsyncIterator[Rig]:
+    """An agent with a registry and one appliance an act; without a conveyor unless one is named. ask: the registry's
+    list comes only when the decisions ask for it."""
     it = Rig()
-    address = it.registry.listen_on("127.0.0.1:0")
+    address = it.registry.listen_on("127.0.0.1:0") + ("\nmode = ask" if ask else "")
     for act in acts:
         await it.add(act)
     it.daemon = Daemon(read_agent(settings(folder, address, conveyor, **more)), it.log)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -178,15 +178,15 @@
 
 @sockets
 async def test_one_stream_each_over_many_connections(tmp_path):
-    async with rig(tmp_path, answer, answer, wire="connections = 300") as it:
-        clients = [await it.client() for _ in range(300)]
+    async with rig(tmp_path, answer, answer, wire="connections = 1000") as it:
+        clients = [await it.client() for _ in range(1000)]
         calls = [client.call(VIEW) for client in clients]
         for got in calls:
             await got.done.wait()
         assert {got.ends for got in calls} == {1} and {got.status for got in calls} <= {"0", "8"}
         over = await it.client()
         await over.peer.closed.wait()
-        assert it.log.of("connections_full") == [{"connections": 300}]
+        assert it.log.of("connections_full") == [{"connections": 1000}]
 
 
 @sockets
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,86 @@
+"""News that must be asked for, and messages between agents, on sockets."""
+from __future__ import annotations
+
+import asyncio
+
+from cartweir.agent.daemon import Daemon
+from cartweir.agent.names import load_of
+from cartweir.proto import agent_pb2 as pb
+from cartweir.proto import orca_pb2
+from cartweir.settings.ini import read_agent
+from cartweir.wire import grpc
+from cartweir.wire.calls import CallError, Channel
+from peers import ISSUE, VIEW, Client, Log, answer, rig, settings
+from test_calls import ask, sockets
+from test_processes import Offering
+
+
+@sockets
+async def test_a_list_that_must_be_asked_for_is_asked_for_again(tmp_path):
+    async with rig(tmp_path, answer, ask=True) as it:
+        assert (await ask(it, ISSUE)).status == "0"
+        it.registry.fail(True)
+        await it.log.next("registry_lost")
+        assert (await ask(it, ISSUE)).status == "0"             # the list held goes on
+        late = await it.add(answer)
+        it.registry.fail(False)
+        await it.log.next("list")
+        while not late.requests:
+            assert (await ask(it)).status == "0"
+
+
+@sockets
+async def test_counts_of_one_agent_reach_the_other(tmp_path):
+    """Two agents that may message: what each saw of the trial is added up at one and told to the other."""
+    conveyor = Offering(lambda count, request: pb.Verdict(answer=pb.Verdict.OK, stage=conveyor.word).SerializeToString())
+    where = conveyor.listen_on("127.0.0.1:0")
+    free = [Offering(None), Offering(None)]                      # their ports are the agents'
+    ports = [one.listen_on("127.0.0.1:0") for one in free]
+    for one in free:
+        one.shut()
+    async with rig(tmp_path, answer, answer, answer) as it:
+        await it.add(answer, build=2)
+        daemons, heard, logs = [], {0: [], 1: []}, []
+        for me in (0, 1):
+            folder = tmp_path / str(me)
+            folder.mkdir()
+            registry = f"127.0.0.1:{it.registry.port}"
+            file = settings(folder, registry, where, agent=f"me = {me}\nagents = 2", allowed="may_message = yes")
+            file.write_text(file.read_text().replace("listen = 127.0.0.1:0", f"listen = {ports[me]}")
+                            + f"[peers]\n{1 - me} = {ports[1 - me]}\n")
+            logs.append(Log())
+            daemon = Daemon(read_agent(file), logs[-1])
+            told = daemon.seat.told
+            daemon.seat.told = lambda sender, figures, me=me, told=told: (heard[me].append((sender, figures)),
+                                                                         told(sender, figures))
+            ready = [asyncio.ensure_future(logs[-1].next(event)) for event in ("list", "stage")]
+            daemon.start_up()
+            await asyncio.gather(*ready)
+            daemons.append(daemon)
+        clients = [await Client.connect(port) for port in ports]
+        while not (heard[0] and heard[1]):
+            calls = [client.call(VIEW) for client in clients for _ in range(2)]
+            await asyncio.gather(*(got.done.wait() for got in calls))
+        for me in (0, 1):
+            for sender, figures in heard[me]:
+                assert sender == 1 - me and len(figures) in (13, 14) and figures[-13] == 2
+        with_garbage = Channel(ports[0], 1_000_000)
+        try:
+            await with_garbage.unary("/cartweir.v1.Peer/Tell", b"\xff\xff", 1_000_000)
+            raise AssertionError("garbage was taken")
+        except CallError as error:
+            assert error.status == 3
+        with_garbage.close()
+        for client in clients:
+            client.close()
+        for daemon in daemons:
+            daemon.front.drain()
+            daemon._end()
+    conveyor.shut()
+
+
+def test_load_comes_from_the_orca_trailer():
+    report = orca_pb2.OrcaLoadReport(cpu_utilization=0.5, named_metrics={"inflight": 3, "other": 1})
+    trailer = [(b"endpoint-load-metrics-bin", grpc.encode_binary(report.SerializeToString()))]
+    assert load_of(trailer) == {"util": 0.5, "inflight": 3}
+    assert load_of([]) is None and load_of([(b"endpoint-load-metrics-bin", b"!")]) is None
