An alarm that comes a microsecond early is set again

Two test runs in about fifty stood still: a call was never answered. The loop's timers are finer than our whole microseconds; about one in a thousand woke the agent 1 us before the alarm was due, the engine took its one alarm for armed, and no timer fired any more until other news came. On a quiet agent held calls stayed unanswered. The alarm is now set again; a test wakes it early and fails without this.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -88,8 +88,11 @@
         self._alarm = (due, self.loop.call_later(wait, self._fire))
 
     def _fire(self) -> None:
-        self._alarm = None
-        self.seat.alarm()
+        due, self._alarm = self._alarm[0], None
+        if self.clock.now() < due:          # the loop's clock is finer than ours: it may wake us up to 1 us early
+            self.alarm_at(due)
+        else:
+            self.seat.alarm()
 
     def soon(self, do: Callable[[], None]) -> None:
         self.loop.add_callback(do)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -79,6 +79,30 @@
     conveyor.shut()
 
 
+@sockets
+async def test_an_alarm_that_comes_a_microsecond_early_is_not_lost(tmp_path):
+    """The decisions arm one alarm at a time: if it is taken for done before it is due, no timer fires any more."""
+    async with rig(tmp_path, answer) as it:
+        daemon, fired, real = it.daemon, asyncio.Event(), it.daemon.clock.now
+        due = real() + 20_000
+        daemon.seat.engine.at(due, fired.set)
+        fire, early = daemon._fire, []
+
+        def first_early():
+            if daemon._alarm[0] == due and not early:
+                early.append(True)
+                daemon.clock.now = lambda: due - 1
+                fire()
+                daemon.clock.now = real
+            else:
+                fire()
+        daemon.loop.remove_timeout(daemon._alarm[1])
+        daemon._fire, daemon._alarm = first_early, None
+        daemon.alarm_at(due)
+        await asyncio.wait_for(fired.wait(), 5)
+        assert early
+
+
 def test_load_comes_from_the_orca_trailer():
     report = orca_pb2.OrcaLoadReport(cpu_utilization=0.5, named_metrics={"inflight": 3, "other": 1})
     trailer = [(b"endpoint-load-metrics-bin", grpc.encode_binary(report.SerializeToString()))]
