Binary metadata through a client that nobody here wrote

That -bin metadata passes unharmed was claimed and not shown. grpcio's client now sends some, and the appliance gets it as base64.

--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -82,8 +82,8 @@
 async def test_a_client_that_nobody_here_wrote(tmp_path):
     async with rig(tmp_path, answer) as it:
         async with grpc.aio.insecure_channel(it.address) as channel:
-            call = channel.unary_unary(VIEW)(b"please", timeout=2, metadata=[("cartweir-key", "k")])
-            assert await call == b"fine"
+            call = channel.unary_unary(VIEW)(b"please", timeout=2, metadata=[("cartweir-key", "k"), ("x-blob-bin", b"\0\xff")])
+            assert await call == b"fine" and it.appliances[0].requests[0]["x-blob-bin"] == "AP8"
             assert ("x-from", "appliance") in list(await call.trailing_metadata())
             stream = channel.unary_stream(TILES)(b"please", timeout=2)
             assert [part async for part in stream] == [b"fine"]
