--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import gc
+import heapq
 import random
 import secrets
 import signal
@@ -46,6 +47,7 @@
             Reach(agent.me, reach.connect_timeout, reach.probe_timeout, reach.idle_time, reach.streams, reach.connections,
                   wire.answer, wire.hold, 2 * agent.tick, limits), self.clock.now, self.note, tap)
         self._alarm: tuple[int, Any] | None = None
+        self._dues: list[int] = []          # alarms that were asked for
         self._to_say: list[Callable[[], None]] = []     # wishes of the decisions before there is whom to tell
         self.registry: RegistryNews | None = None
         self.conveyor: ConveyorNews | None = None
@@ -80,19 +82,26 @@
         return self.clock.now()
 
     def alarm_at(self, due: int) -> None:
-        if self._alarm is not None:
-            if self._alarm[0] <= due:
-                return
-            self.loop.remove_timeout(self._alarm[1])
-        wait = max(0, due - self.clock.now()) / 1e6
-        self._alarm = (due, self.loop.call_later(wait, self._fire))
+        """Each one that is asked for fires: the engine may have run what an earlier one was for, and asked anew."""
+        heapq.heappush(self._dues, due)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._dues and (self._alarm is None or self._dues[0] < self._alarm[0]):
+            if self._alarm is not None:
+                self.loop.remove_timeout(self._alarm[1])
+            due = self._dues[0]
+            self._alarm = (due, self.loop.call_later(max(0, due - self.clock.now()) / 1e6, self._fire))
 
     def _fire(self) -> None:
-        due, self._alarm = self._alarm[0], None
-        if self.clock.now() < due:          # the loop's clock is finer than ours: it may wake us up to 1 us early
-            self.alarm_at(due)
-        else:
+        """The loop's clock is finer than ours: it may wake us up to 1 us early, and then is asked again."""
+        self._alarm, now, due = None, self.clock.now(), False
+        while self._dues and self._dues[0] <= now:
+            heapq.heappop(self._dues)
+            due = True
+        if due:
             self.seat.alarm()
+        self._schedule()
 
     def soon(self, do: Callable[[], None]) -> None:
         self.loop.add_callback(do)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -97,12 +97,23 @@
             else:
                 fire()
         daemon.loop.remove_timeout(daemon._alarm[1])
-        daemon._fire, daemon._alarm = first_early, None
+        daemon._fire, daemon._alarm, daemon._dues = first_early, None, []
         daemon.alarm_at(due)
         await asyncio.wait_for(fired.wait(), 5)
         assert early
 
 
+@sockets
+async def test_an_alarm_that_an_event_has_forestalled_does_not_take_the_next_with_it(tmp_path):
+    async with rig(tmp_path, answer) as it:
+        engine, now, fired = it.daemon.seat.engine, it.daemon.clock.now(), asyncio.Event()
+        engine.at(now + 1000, lambda: engine.at(now + 40_000, fired.set))
+        while it.daemon.clock.now() < now + 1000:
+            pass
+        it.daemon.seat.enter()              # an event comes before the alarm's turn
+        await asyncio.wait_for(fired.wait(), 5)
+
+
 def test_load_comes_from_the_orca_trailer():
     report = orca_pb2.OrcaLoadReport(cpu_utilization=0.5, named_metrics={"inflight": 3, "other": 1})
     trailer = [(b"endpoint-load-metrics-bin", grpc.encode_binary(report.SerializeToString()))]
