--- a/cartweir/standin/replay.py
+++ b/cartweir/standin/replay.py
@@ -144,7 +144,7 @@
         except (OSError, ValueError, KeyError, TypeError, IndexError, ZeroDivisionError) as error:
             raise BadInput([f"{file}: no day file ({error!r}): the output of `lbsim draw` is due"]) from None
         self.make = Make(cores=kind["cores"], speed=speed, queue=kind["queue"], cold_share=kind["cold_from"],
-                         warm_time=kind["cold"], fall_multiple=day["fall_multiple"], fall_time=day["fall_for"],
+                         warm_time=kind["cold"], fall_multiple=day["fall_multiple"], fall_time=day["fall_for"], boot_time=round(fam["boot"]),
                          reports=day["tiers"][0]["report_how"] != "none")
         self.zones = tuple(day["zones"])
         self.registry_late = round(day["discovery"]["add"])
