--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -26,6 +26,7 @@
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
+FEW = 4.0                                   # so many open ones an agent is free to reach
 LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
@@ -295,7 +296,7 @@
         if how == FULL or (self.crawling if how == TIMEOUT else late):
             least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
-        elif self.open + 1 >= 0.7 * self.limit:
+        elif self.open + 1 >= 0.7 * self.limit or self.limit < FEW:     # which few answers never test
             self.limit += min(2 / self.limit, 0.05 * self.limit)
         self.stir()
 
