--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -274,7 +274,10 @@
         appliance, health = dispatch.appliance, dispatch.appliance.learned
         self.open, self.answered = self.open - 1, self.answered + (how == SUCCEEDED)
         health.note(how, 16)
-        self.links[appliance.zone] = (self.links.get(appliance.zone, 0.0) * 7 + (how == UNCONNECTED)) / 8
+        if how == UNCONNECTED or (how == SUCCEEDED and not health.linked):      # what new connections come to
+            self.links[appliance.zone] = (self.links.get(appliance.zone, 0.0) * 7 + (how == UNCONNECTED)) / 8
+        if how in (SUCCEEDED, ERROR, FULL, UNCONNECTED):
+            health.linked = now * (how != UNCONNECTED)
         if how == SUCCEEDED:
             self.hear(health, outcome.load)
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
@@ -292,6 +295,8 @@
         if how in (SUCCEEDED, FULL):                # guards against lost answers being taken for overload
             self.crawling = how == FULL or outcome.took > 0.3 * slo_time
         late = outcome.took > 0.7 * min(dispatch.patience, slo_time)
+        if appliance.zone == self.known["zone"]:
+            self.strain += (late - self.strain) / 16
         if how == FULL or (self.crawling if how == TIMEOUT else late):
             least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
@@ -383,16 +388,25 @@
     def fits(self, inv: Invocation, appliance: Appliance, tried: list[Appliance]) -> bool:
         health = appliance.learned          # silent to its latest probe while most are answered: seldom tried
         mute = health.heard < health.probed < self.host.now - 100 * MS and (
-            self.chance.random() < min(0.9, self.probes_answered)) or (     # nor over a link that breaks off
-            self.chance.random() < min(0.9, 2 * self.links.get(appliance.zone, 0.0)))
+            self.chance.random() < min(0.9, self.probes_answered))
         return appliance not in tried and not mute and self.may_go(inv, appliance)
 
+    def handy(self, side: list[Appliance]) -> list[Appliance]:
+        """Of the own zone, which costs least, unless that is strained. Where new connections fail, those that have
+        one: guards against appliances that take few, and links that break off."""
+        home, now, idle = self.known["zone"], self.host.now, self.known["idle_time"]
+        stays, luck = side is self.earlier and self.chance.random() >= 4 * self.strain, self.chance.random()
+        near = [a for a in side if a.zone == home] if stays else side
+        return [a for a in near or side if 0 < a.learned.linked > now - idle
+                or luck >= min(0.9, 2 * self.links.get(a.zone, 0.0))]
+
     def draw(self, inv: Invocation, side: list[Appliance], tried: list[Appliance]) -> list[Appliance]:
         found: list[Appliance] = []         # two random ones; the whole side is looked at only if none fits
-        for appliance in self.chance.sample(side, min(8, len(side))):
+        handy = self.handy(side)
+        for appliance in self.chance.sample(handy, min(8, len(handy))):
             if len(found) < 2 and self.fits(inv, appliance, tried):
                 found.append(appliance)
-        if not found and len(side) > 8 and (found := [a for a in side if self.fits(inv, a, tried)]):
+        if not found and (found := [a for a in side if self.fits(inv, a, tried)]):
             found = self.chance.sample(found, min(2, len(found)))
         return found
 
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -89,6 +89,7 @@
     load_at: int = 0
     heard: int = 0                  # when it last answered
     probed: int = 0                 # when it was last probed
+    linked: int = 0                 # when it last showed an open connection; 0: none is known
 
     def note(self, how: str, most: int) -> None:
         """One of our dispatches has ended; at `most` outcomes the counts are halved."""
@@ -135,6 +136,7 @@
     crawling: bool = False          # the latest answer was slow
     spare_retries: float = 0.0
     links: dict[str, float] = field(default_factory=dict)       # zone -> share that got no connection of late
+    strain: float = 0.0             # share of late answers in the own zone of late
     probes_answered: float = 1.0    # share of the latest
     credit: float = 0.0             # dispatches earned at cold machines
     asked: float = 0.0              # invocations taken, and succeeded; halved now and then
