--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -279,7 +279,7 @@
         if how in (SUCCEEDED, ERROR, FULL, UNCONNECTED):
             health.linked = now * (how != UNCONNECTED)
         if how == SUCCEEDED:
-            self.hear(health, outcome.load)
+            self.hear(health, outcome.load, outcome.took, False)
         key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
         if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
             self.bound_keys[key] = appliance.build
@@ -294,27 +294,32 @@
         slo_time = dispatch.invocation.operation.slo_time
         if how in (SUCCEEDED, FULL):                # guards against lost answers being taken for overload
             self.crawling = how == FULL or outcome.took > 0.3 * slo_time
-        late = outcome.took > 0.7 * min(dispatch.patience, slo_time)
+        late = outcome.took > 0.7 * min(dispatch.patience, slo_time) and self.host.lag <= STALL
         if appliance.zone == self.known["zone"]:
             self.strain += (late - self.strain) / 16
-        if how == FULL or (self.crawling if how == TIMEOUT else late):
+        if how == FULL or (self.crawling and self.host.lag <= STALL if how == TIMEOUT else late):
             least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
         elif self.open + 1 >= 0.7 * self.limit or self.limit < FEW:     # which few answers never test
             self.limit += min(2 / self.limit, 0.05 * self.limit)
         self.stir()
 
-    def hear(self, health: Notes, load: Mapping | None, took: int = 0) -> None:
+    def hear(self, health: Notes, load: Mapping | None, took: int, probe: bool) -> None:
         health.heard = self.host.now
-        if load or took:
-            load = load or {"inflight": took / (50 * MS)}
+        load = load or ({"inflight": took / (50 * MS)} if probe else {})
+        if "inflight" in load or "util" in load:
             health.load, health.load_at = load.get("inflight", 3 * load.get("util", 0.0)), self.host.now
+        elif "queue" in load:               # those in work by Little's law
+            health.load = load["queue"] + load.get("rate", 0.0) * load.get("mean_ms", 0.0) / 1000
+            health.load_at = self.host.now
+        elif probe:
+            self.probes_tell = False
 
     def on_probe(self, appliance: Appliance, answered: bool, took: int, load: Mapping | None) -> None:
         """An unanswered one is no reason to shut anything: it only makes probes rarer."""
         self.probes_answered += (answered - self.probes_answered) / 16
         if answered:
-            self.hear(appliance.learned, load, took)
+            self.hear(appliance.learned, load, took, True)
 
     # ---- pick: which appliance ---------------------------------------------------------------------------
     def cap_of(self, appliance: Appliance) -> float | None:
@@ -426,7 +431,7 @@
     def unsure(self, pair: list[Appliance]) -> list[Appliance]:
         """Whom to probe: own dispatches may be too few to tell of a load, a standstill or a slow link."""
         stale = [a for a in pair if self.host.now - a.learned.heard > STALE]
-        worth = self.known["may_probe"] and len(pair) == 2
+        worth = self.known["may_probe"] and len(pair) == 2 and self.probes_tell
         return stale if worth and self.chance.random() < max(self.probes_answered, 0.05) else []
 
     # ---- votes -------------------------------------------------------------------------------------------
@@ -521,7 +526,7 @@
             # 1. a pair, or hold; overload is told by how long the oldest held one has waited
             held_until, pair = min(useful, host.now + operation.slo_time // 6), []
             while not inv.concluded:
-                if self.open + part < self.limit:
+                if self.open + part < self.limit or host.lag > STALL:      # an own stall withheld these
                     pair = self.pick(inv)
                 if pair or host.now >= held_until:
                     break
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -138,6 +138,7 @@
     links: dict[str, float] = field(default_factory=dict)       # zone -> share that got no connection of late
     strain: float = 0.0             # share of late answers in the own zone of late
     probes_answered: float = 1.0    # share of the latest
+    probes_tell: bool = True        # of a load
     credit: float = 0.0             # dispatches earned at cold machines
     asked: float = 0.0              # invocations taken, and succeeded; halved now and then
     answered: float = 0.0
