--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -22,7 +22,7 @@
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
-FLAGS, POOLED = (80, 0.12), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
+FLAGS, POOLED = (80, 0.2), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
@@ -64,7 +64,7 @@
         """ln L. An open block counts from two failures on: with little traffic none ever fills. v takes the
         share that both sides would have in common, of all blocks, lest good ones outweigh bad ones."""
         totals = self.totals
-        if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > 3 * self.half:
+        if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > self.least * self.half:
             totals = [old + new for old, new in zip(totals, self.gain())]
         precision, weighted, count, failures = totals
         if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[0][0]):       # a jam fills one
@@ -93,6 +93,8 @@
         if (operation, stream) not in self.judges:
             pooled = self.known["may_message"] and operation is None and stream != SLOW
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level)
+            if stream[0] == FLAGS[0] and not pooled and self.known["back_votes"] > 1:
+                self.judges[operation, stream].least = 1        # one report, as others must have one too
         self.judges[operation, stream].add(trial, failures, count, self.agent.alone)
 
     def worst(self) -> Judge:
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -37,6 +37,7 @@
     width: float
     half: float = 0.5               # half a failure, as this stream counts
     level: float = 0.0              # of an error by this agent alone
+    least: float = 3.0              # half failures of the trial from which on an open block counts
     totals: list[float] = field(default_factory=lambda: [0.0] * 4)          # A, S, outcomes, failures
     blocks: int = 0                 # closed ones
     counts: list[float] = field(default_factory=lambda: [0, 0])             # of the open one: earlier, trial
