--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -194,6 +194,7 @@
 class Agent(Memory):
     def __init__(self, host: Host, known: Mapping[str, Any], chance: random.Random) -> None:
         super().__init__(host, known, chance, spare_retries=10.0)
+        self.least_value = min((o.billed_value for o in known["operations"]), default=1.0) or 1.0
         self.credit, self.jury = chance.random() - 1, Jury(self)
         whole, apart = Exposure(known), known["per_operation"]
         self.exposures = {operation: Exposure(known) if apart else whole for operation in known["operations"]}
@@ -523,12 +524,13 @@
         self.exposures[operation].take(host.now)
         end = inv.expires - 2 * known["tick"]               # rule 1: the last moment for our answer
         useful = end if operation.late_value > 0 else min(end, inv.taken + operation.slo_time)
+        scarce = min(2.0, operation.billed_value / self.least_value)    # overload: what is worth most goes first
         part = self.chance.random()                         # chance stands for what is less than one dispatch
         while True:
             # 1. a pair, or hold; overload is told by how long the oldest held one has waited
             held_until, pair = min(useful, host.now + operation.slo_time // 6), []
             while not inv.concluded:
-                if self.open + part < self.limit or host.lag > STALL:      # an own stall withheld these
+                if self.open + part < self.limit * scarce or host.lag > STALL:      # an own stall withheld these
                     pair = self.pick(inv)
                 if pair or host.now >= held_until:
                     break
