--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -64,7 +64,8 @@
         """ln L. An open block counts from two failures on: with little traffic none ever fills. v takes the
         share that both sides would have in common, of all blocks, lest good ones outweigh bad ones."""
         totals = self.totals
-        if self.counts[False] >= EARLIER_BLOCK and self.failures[True] > self.least * self.half:
+        if self.counts[False] >= EARLIER_BLOCK and self.counts[True] and (      # reports come after the counts
+                self.failures[True] > self.least * self.half):
             totals = [old + new for old, new in zip(totals, self.gain())]
         precision, weighted, count, failures = totals
         if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[0][0]):       # a jam fills one
@@ -297,10 +298,10 @@
         slo_time = dispatch.invocation.operation.slo_time
         if how in (SUCCEEDED, FULL):                # guards against lost answers being taken for overload
             self.crawling = how == FULL or outcome.took > 0.3 * slo_time
-        late = outcome.took > 0.7 * min(dispatch.patience, slo_time) and self.host.lag <= STALL
+        late = outcome.took > 0.7 * slo_time and self.host.lag <= STALL     # clients in a hurry are no overload
         if appliance.zone == self.known["zone"]:
             self.strain += (late - self.strain) / 16
-        if how == FULL or (self.crawling and self.host.lag <= STALL if how == TIMEOUT else late):
+        if how == FULL or (late and (self.crawling or how != TIMEOUT)):
             least = max(0.1, 1.5 * len(self.fleet) / self.known["agents"])
             self.limit = max(self.limit - min(14 / self.limit, 0.35 * self.limit), least)
         elif self.open + 1 >= 0.7 * self.limit or self.limit < FEW:     # which few answers never test
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,7 +12,7 @@
 TRACES = Path(__file__).parent / "traces"
 KNOWN = dict(agents=1, me=0, zone="a", tick=5 * MS, may_cancel=True, may_probe=True, may_message=False,
              may_duplicate=False, may_advise=True, max_advice=500 * MS, dispatch_limit=4, cold_share=0.4,
-             warm_time=5 * S, fall_multiple=4.0, fall_time=S, drain_grace=S, control="any", per_operation=False,
+             warm_time=5 * S, fall_multiple=4.0, fall_time=S, drain_grace=S, idle_time=30 * S, control="any", per_operation=False,
              in_place=False, window=4 * S, free=1.0, caps=(0.1, 0.4, 1.0), shares=(0.1, 0.35, 1.0),
              guarded_stages=0, one_way=False, on_votes=1, back_votes=1, vote_life=6 * S, vote_allowance=100.0, flag_share=0.0,
              must_ask=False)
