--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -12,7 +12,7 @@
 from math import inf, log
 from typing import Any
 
-from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, NEVER_RAN, ON,
+from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
                         ON_TRIAL, READY, RELEASED, RESET, SIDE_EFFECTING, SUCCEEDED, TIMEOUT, UNCONNECTED,
                         Appliance, Cancel, Dispatch, Host, Invocation, Operation, Outcome, Probe, Stage,
                         Steps, Tally, Terminate, Throttle, Wait)
@@ -442,7 +442,7 @@
     def on_stage(self, stage: Stage) -> None:
         old, known = self.stage, self.known
         if stage.answer not in (None, "ok"):        # a refused vote brings no news, whatever its fields say
-            return self.recast(self.vote)
+            return None if stage.answer == MOOT else self.recast(self.vote)
         self.stage = stage
         self.regroup()
         if old is None or stage.build != old.build:
@@ -498,19 +498,22 @@
             if (ratio := worst.log_ratio()) > 0 or vote[2] != ON:
                 self.host.log(f"vote {vote[2]} build {vote[0]} stage {vote[1]}: ln L {ratio:.2f}, {worst}")
             self.host.vote(*vote)
+            self.cast_at = self.host.now
             self.host.at(self.host.now + self.known["vote_life"], lambda: self.lapse(vote))
 
     def lapse(self, vote: tuple) -> None:
-        if vote == self.vote and vote[2] == BACK and self.jury.worst().margin() <= 0:
-            self.vote = None
-        elif vote == self.vote:
-            self.may_recast = True
-            self.recast(vote)
+        if vote == self.vote and self.host.now >= self.cast_at + self.known["vote_life"]:
+            if vote[2] == BACK and self.jury.worst().margin() <= 0:
+                self.vote = None
+            else:
+                self.cast(vote)
 
     def recast(self, vote: tuple | None) -> None:
-        if vote and vote == self.vote and self.may_recast:
+        """Of a refused vote, once; a recast that is refused too stands for a platform that is away."""
+        if vote and vote == self.vote:
+            wait = self.some(VOTE_SPREAD if self.may_recast else self.known["vote_life"] // 2)
             self.may_recast = False
-            self.host.at(self.host.now + self.some(VOTE_SPREAD), lambda: self.cast(vote))
+            self.host.at(self.host.now + wait, lambda at=self.cast_at: self.cast_at == at and self.cast(vote))
 
     # ---- invocations: holding, dispatching, the final answer ----------------------------------------------
     def stir(self) -> None:
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -129,6 +129,7 @@
     vote: tuple | None = None       # build, stage, verdict: standing or about to be cast
     votes: bool = False             # this instance is one of the voters of the stage
     may_recast: bool = False
+    cast_at: int = 0                # when it was last cast
     subscribed: bool = False
     bound_keys: dict[str, int] = field(default_factory=dict)    # one-way keys -> newest build that answered
     held: list[Invocation] = field(default_factory=list)
