An agent that voted back goes on judging: a vote on one report can lapse

To blame: Agent.pick sent such an agent's invocations to the earlier build only, so its count of three trial answers never grew. What sends the build back there is slowness after its release, looked at next.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -423,7 +423,7 @@
         """The trial gets its machines' part, to be judged at full load before its release. Repeats go to the
         earlier build, unless the key must stay."""
         tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
-        fair = self.stage and self.stage.phase == ON_TRIAL and not (self.vote and self.vote[2] == BACK)
+        fair = self.stage and self.stage.phase == ON_TRIAL      # also after an own 'back', lest evidence freezes
         if not tried and self.cold and self.credit >= 0:
             sides.insert(0, [a for a in self.cold if fair or self.cap_of(a) is None])
         elif not tried and fair and self.chance.random() * self.places < sum(
