--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -25,7 +25,7 @@
 FLAGS, POOLED = (80, 0.2), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
-AFTER, SLOW_BY = 10 * S, 1.4                # of a release; beyond what cold memories of keys explain
+SLOW_BY = 1.4                               # beyond what cold memories of keys explain
 FEW = 4.0                                   # so many open ones an agent is free to reach
 LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
@@ -137,13 +137,14 @@
         if dispatch.ended != TIMEOUT:
             self.add(operation, ERRORS, trial, failed)
             self.share(2, trial, failed, 1)
-        # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a later jump
+        # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a jump in load
+        # as the earlier machines go
         spoilt = now - appliance.started < SKIP and appliance.started or self.agent.host.lag > STALL or (
-            trial and trials == 1) or (self.agent.alone and now - self.agent.stage_since > AFTER)
+            trial and trials == 1) or self.agent.alone
         if not spoilt:
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
-            self.share(1, trial, slow and not self.agent.alone, not self.agent.alone)  # in pairs
+            self.share(1, trial, slow, 1)
 
 
 # ---- exposure: dispatches at builds on trial ----------------------------------------------------------
