--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -93,7 +93,8 @@
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
         if (operation, stream) not in self.judges:
             pooled = self.known["may_message"] and operation is None and stream != SLOW
-            self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level)
+            of = f"{operation.name if operation else 'all'} {stream[0]}/{stream[1]}"
+            self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level, of=of)
             if stream[0] == FLAGS[0] and not pooled and self.known["back_votes"] > 1:
                 self.judges[operation, stream].least = 1        # one report, as others must have one too
         self.judges[operation, stream].add(trial, failures, count, self.agent.alone)
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -37,6 +37,7 @@
     width: float
     half: float = 0.5               # half a failure, as this stream counts
     level: float = 0.0              # of an error by this agent alone
+    of: str = ""                    # whose answers it counts, and what in them
     least: float = 3.0              # half failures of the trial from which on an open block counts
     totals: list[float] = field(default_factory=lambda: [0.0] * 4)          # A, S, outcomes, failures
     blocks: int = 0                 # closed ones
@@ -46,7 +47,7 @@
 
     def __str__(self) -> str:
         sides = " against ".join(f"{self.failures[side]:.0f} of {self.counts[side]:.0f}" for side in (1, 0))
-        return f"{self.blocks} blocks of {self.block}, open {sides}"
+        return f"{self.of}: {self.blocks} blocks of {self.block}, open {sides}"
 
 
 class Ledger:
