All answers against the time before the trial had its traffic, in progress

Jury.before keeps a stream of warm appliances' times in the own zone, before the trial's part is 0.15 against once it is 0.3.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -23,6 +23,7 @@
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
 FLAGS, POOLED = (80, 0.2), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
+BEFORE, LITTLE, MUCH = (40, 0.3), 0.15, 0.3 # all against the time when the trial had little of the traffic
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 SLOW_BY = 1.4                               # beyond what cold memories of keys explain
@@ -89,7 +90,8 @@
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
         self.level = min(ALPHA, max(ALPHA * needed, needed - 2 * needed ** 0.5) / agents ** 0.5)
 
-    def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1):
+    def add(self, operation: Operation | None, stream: tuple, trial: bool, failures: float, count: int = 1,
+            alone: bool | None = None) -> None:
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
         if (operation, stream) not in self.judges:
             pooled = self.known["may_message"] and operation is None and stream != SLOW
@@ -97,7 +99,7 @@
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level, of=of)
             if stream[0] == FLAGS[0] and not pooled and self.known["back_votes"] > 1:
                 self.judges[operation, stream].least = 1        # one report, as others must have one too
-        self.judges[operation, stream].add(trial, failures, count, self.agent.alone)
+        self.judges[operation, stream].add(trial, failures, count, self.agent.alone if alone is None else alone)
 
     def worst(self) -> Judge:
         return max(self.judges.values(), key=Judge.margin, default=Judge(*SLOW, level=ALPHA))
@@ -125,9 +127,20 @@
             for earlier in (d for d in dispatch.invocation.dispatches if d.ended == ERROR):
                 self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
+            self.before(outcome, too_long)
         if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
             self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
 
+    def before(self, outcome: Outcome, too_long: float) -> None:
+        """Guards against a build that slows every machine alike, in step with its traffic: no side by side
+        comparison shows it. Only what neither cold ones, links nor own stalls can slow, and while capacity grows."""
+        agent, appliance = self.agent, outcome.dispatch.appliance
+        part, now = agent.known["shares"][agent.stage.number], agent.host.now
+        if agent.stage.phase == ON_TRIAL and not agent.known["in_place"] and (part < LITTLE or part > MUCH) and (
+                agent.host.lag <= STALL and appliance.zone == agent.known["zone"]) and not (
+                now - appliance.started < SKIP and appliance.started):
+            self.add(None, BEFORE, part > MUCH, outcome.took > too_long, alone=part > MUCH)
+
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
         trial, trials = self.agent.on_newest(appliance), len(self.agent.trial)
