Sampled counts tell a build that slows all: against the time before it had traffic

Jury.tallied turns a mean into the part beyond what nine tenths took (exponential) and feeds one stream of all operations at level alpha, as the figures are the same at all agents; a period that began before the stage tells nothing.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -9,7 +9,7 @@
 import random
 from collections import deque
 from collections.abc import Mapping
-from math import inf, log
+from math import exp, inf, log
 from typing import Any
 
 from .interface import (BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, HOLD, IDEMPOTENT, MOOT, NEVER_RAN, ON,
@@ -23,7 +23,7 @@
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
 FLAGS, POOLED = (80, 0.2), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
-BEFORE, LITTLE, MUCH = (40, 0.3), 0.15, 0.3 # all against the time when the trial had little of the traffic
+BEFORE, SAMPLED, LITTLE, MUCH = (40, 0.3), (60, 0.2), 0.15, 0.3     # all against when the trial had little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 SLOW_BY = 1.4                               # beyond what cold memories of keys explain
@@ -85,6 +85,7 @@
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
         self.times: dict[str, Histogram] = {}
+        self.usual: dict[Operation, int] = {}               # mean times by tallies, before the trial had traffic
         self.untold, self.failing = Ledger(), (None, 0)     # the latter: last of the trial to fail, and when
         # guards against one of very many being wrong: the more may vote and the fewer are needed, the smaller
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
@@ -94,7 +95,8 @@
             alone: bool | None = None) -> None:
         """Compared within one operation, so that a change of mix moves nothing; None: where all are alike."""
         if (operation, stream) not in self.judges:
-            pooled = self.known["may_message"] and operation is None and stream != SLOW
+            pooled = stream == SAMPLED or (
+                self.known["may_message"] and operation is None and stream not in (SLOW, BEFORE))
             of = f"{operation.name if operation else 'all'} {stream[0]}/{stream[1]}"
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level, of=of)
             if stream[0] == FLAGS[0] and not pooled and self.known["back_votes"] > 1:
@@ -114,9 +116,9 @@
             self.add(None, POOLED[kind - 1], trial, failures, count)
 
     def weigh(self, outcome: Outcome) -> None:
-        dispatch, how = outcome.dispatch, outcome.how
-        operation, trial = dispatch.invocation.operation, self.agent.on_newest(dispatch.appliance)
-        times = self.times.setdefault(dispatch.appliance.kind, Histogram(EDGES, 400))
+        dispatch, how, appliance = outcome.dispatch, outcome.how, outcome.dispatch.appliance
+        operation, trial = dispatch.invocation.operation, self.agent.on_newest(appliance)
+        times = self.times.setdefault(appliance.kind, Histogram(EDGES, 400))
         slo_time = operation.slo_time       # times are in parts of it, so that operations pool
         too_long = SLOW_BY * times.edge(0.9) * slo_time / S if times.total >= 15 else inf
         if not trial and how == SUCCEEDED:
@@ -127,19 +129,31 @@
             for earlier in (d for d in dispatch.invocation.dispatches if d.ended == ERROR):
                 self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
-            self.before(outcome, too_long)
+            much = self.before()
+            old = not appliance.started or self.agent.host.now - appliance.started >= SKIP
+            if much is not None and old and self.agent.host.lag <= STALL and appliance.zone == self.known["zone"]:
+                self.add(None, BEFORE, much, outcome.took > too_long, alone=much)
         if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
             self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
 
-    def before(self, outcome: Outcome, too_long: float) -> None:
-        """Guards against a build that slows every machine alike, in step with its traffic: no side by side
-        comparison shows it. Only what neither cold ones, links nor own stalls can slow, and while capacity grows."""
-        agent, appliance = self.agent, outcome.dispatch.appliance
-        part, now = agent.known["shares"][agent.stage.number], agent.host.now
-        if agent.stage.phase == ON_TRIAL and not agent.known["in_place"] and (part < LITTLE or part > MUCH) and (
-                agent.host.lag <= STALL and appliance.zone == agent.known["zone"]) and not (
-                now - appliance.started < SKIP and appliance.started):
-            self.add(None, BEFORE, part > MUCH, outcome.took > too_long, alone=part > MUCH)
+    def before(self) -> bool | None:
+        """Whether the trial has much of the traffic now (True) or little (False). Guards against a build that slows
+        every machine alike, in step with its traffic: no side by side comparison shows it."""
+        part, stage = self.known["shares"][self.agent.stage.number], self.agent.stage
+        known = stage.phase == ON_TRIAL and not self.known["in_place"] and (part < LITTLE or part > MUCH)
+        return part > MUCH if known else None
+
+    def tallied(self, tally: Tally) -> None:
+        """Earlier builds' mean time now against before; the sample is the same at all agents, so one level does."""
+        much, count, agent = self.before(), tally.count - tally.failures, self.agent
+        begun = agent.host.now - tally.age - self.known["tally_time"]
+        if much is None or count <= 0 or (much and begun < agent.stage_since):
+            return
+        usual = self.usual.setdefault(tally.operation, tally.mean_time)
+        if not much:
+            self.usual[tally.operation] = usual + (tally.mean_time - usual) // 16
+        slow = exp(-SLOW_BY * log(10) * usual / tally.mean_time)        # beyond what nine tenths took, were they
+        self.add(None, SAMPLED, much, slow * count, count, alone=much)                  # exponential
 
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
@@ -252,7 +266,8 @@
         self.places = sum(a.weight for a in (self.fleet if both else self.earlier)) or 1.0
 
     def on_tally(self, tally: Tally) -> None:
-        pass
+        if self.judging() and tally.build < self.stage.build and tally.mean_time:
+            self.jury.tallied(tally)
 
     def on_flag(self, operation: Operation, appliance: Appliance, age: int) -> None:
         if self.judging():
@@ -461,7 +476,7 @@
         self.stage = stage
         self.regroup()
         if old is None or stage.build != old.build:
-            self.jury.judges, self.jury.untold, self.relay = {}, Ledger(), Ledger()
+            self.jury.judges, self.jury.usual, self.jury.untold, self.relay = {}, {}, Ledger(), Ledger()
             self.jury.failing = (None, 0)
         kept = stage.build + (stage.phase != ON_TRIAL)
         self.bound_keys = {key: build for key, build in self.bound_keys.items() if build >= kept}
