--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -22,7 +22,7 @@
 ALPHA = 0.05                                # the paper's level
 EARLIER_BLOCK = 5                           # outcomes of earlier builds that a block needs; for each stream
 SLOW, ERRORS = (20, 0.2), (8, 0.2)          # its trial outcomes and the Normal prior's width
-FLAGS, POOLED = (80, 0.2), ((30, 0.2), (30, 0.1))  # reports; slowness and errors of all agents
+FLAGS, POOLED = (80, 0.2), ((80, 0.08), (30, 0.2), (30, 0.1))     # reports; these, slowness, errors of all
 BEFORE, SAMPLED, LITTLE, MUCH = (40, 0.3), (60, 0.2), 0.15, 0.3     # all against when the trial had little
 FADE = 15 / 16                              # of the weight of past blocks, at each new one
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
@@ -69,7 +69,7 @@
                 self.failures[True] > self.least * self.half):
             totals = [old + new for old, new in zip(totals, self.gain())]
         precision, weighted, count, failures = totals
-        if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[0][0]):       # a jam fills one
+        if weighted <= 0 or (self.blocks < 2 and self.block == POOLED[1][0]):       # a jam fills one
             return 0.0
         both = (failures + self.half) / (count + 2 * self.half)
         spread = both * (1 - both) * (2 * self.half) ** 0.5
@@ -111,9 +111,9 @@
         if own and self.known["may_message"]:               # comes back with the sum
             self.untold.note(kind, trial, count, failures)
         elif kind == 0 and (part := self.known["flag_share"]) > 0:
-            self.add(None, (*FLAGS, 0.5 / part), trial, failures / part, count)
+            self.add(None, (*(FLAGS if own else POOLED[0]), 0.5 / part), trial, failures / part, count)
         elif kind and not own:
-            self.add(None, POOLED[kind - 1], trial, failures, count)
+            self.add(None, POOLED[kind], trial, failures, count)
 
     def weigh(self, outcome: Outcome) -> None:
         dispatch, how, appliance = outcome.dispatch, outcome.how, outcome.dispatch.appliance
