Against before: each machine once a stage, and an own stream only where several must agree

Jury.weigh counted every answer, so one slow machine stood for all, and from the stage's launch on, before its machines had traffic. Now each machine counts once a stage, from a second after the newest start, three slow ones at least, and where one vote decides only the sampled counts of all agents do.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -101,6 +101,8 @@
             self.judges[operation, stream] = Judge(*stream, level=ALPHA if pooled else self.level, of=of)
             if stream[0] == FLAGS[0] and not pooled and self.known["back_votes"] > 1:
                 self.judges[operation, stream].least = 1        # one report, as others must have one too
+            elif stream == BEFORE:
+                self.judges[operation, stream].least = 5        # three machines, lest a few be taken for all
         self.judges[operation, stream].add(trial, failures, count, self.agent.alone if alone is None else alone)
 
     def worst(self) -> Judge:
@@ -131,7 +133,12 @@
             self.share(0, trial, 0, 1)
             much = self.before()
             old = not appliance.started or self.agent.host.now - appliance.started >= SKIP
-            if much is not None and old and self.agent.host.lag <= STALL and appliance.zone == self.known["zone"]:
+            if much:            # each machine once a stage, when all are in: a few slow ones are not all
+                old = old and self.agent.host.now > self.agent.newest() + S and (
+                    appliance.learned.told_in != self.agent.stage.word)
+            several = self.known["back_votes"] > 1          # one agent's machines and moment are not all
+            if several and much is not None and old and self.agent.host.lag <= STALL and appliance.zone == self.known["zone"]:
+                appliance.learned.told_in = self.agent.stage.word
                 self.add(None, BEFORE, much, outcome.took > too_long, alone=much)
         if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
             self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
@@ -503,17 +510,20 @@
         if worst.margin() > 0:
             self.plan(BACK)
         elif stage.phase == ON_TRIAL:
-            newest = max((a.started for a in self.trial), default=0)
-            if newest < self.stage_since or len(self.trial) < self.due - 1e-6:
-                newest = self.stage_since + 8 * S           # not all of its machines are listed yet
             undecided = worst.log_ratio() > log(HOLD_ABOVE)
             self.undecided_since = self.undecided_since or (now if undecided else 0)
             held = undecided and now - self.undecided_since < HOLD_MOST
             if held and known["control"] == "timer":
                 self.plan(HOLD)
-            elif not held and known["control"] != "timer" and now >= newest + ON_AFTER:
+            elif not held and known["control"] != "timer" and now >= self.newest() + ON_AFTER:
                 self.plan(ON)
 
+    def newest(self) -> int:
+        """When the stage's newest machine started; 8 s after its launch while not all of them are listed."""
+        newest = max((a.started for a in self.trial), default=0)
+        listed = newest >= self.stage_since and len(self.trial) >= self.due - 1e-6
+        return newest if listed else self.stage_since + 8 * S
+
     def plan(self, verdict: str) -> None:
         """One vote at a random moment within the spread; cast anew once when it lapsed or was refused."""
         vote = (self.stage.build, self.stage.number, verdict)
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -91,6 +91,7 @@
     load_at: int = 0
     heard: int = 0                  # when it last answered
     probed: int = 0                 # when it was last probed
+    told_in: tuple | None = None    # stage in which it was last counted against the time before
     linked: int = 0                 # when it last showed an open connection; 0: none is known
 
     def note(self, how: str, most: int) -> None:
