--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -65,7 +65,7 @@
         """ln L. An open block counts from two failures on: with little traffic none ever fills. v takes the
         share that both sides would have in common, of all blocks, lest good ones outweigh bad ones."""
         totals = self.totals
-        if self.counts[False] >= EARLIER_BLOCK and self.counts[True] and (      # reports come after the counts
+        if self.counts[False] >= EARLIER_BLOCK and self.counts[True] and (  # reports come after these
                 self.failures[True] > self.least * self.half):
             totals = [old + new for old, new in zip(totals, self.gain())]
         precision, weighted, count, failures = totals
@@ -85,7 +85,7 @@
         self.agent, self.known = agent, agent.known
         self.judges: dict[tuple, Judge] = {}
         self.times: dict[str, Histogram] = {}
-        self.usual: dict[Operation, int] = {}               # mean times by tallies, before the trial had traffic
+        self.usual: dict[Operation, int] = {}   # mean times by tallies, before the trial had traffic
         self.untold, self.failing = Ledger(), (None, 0)     # the latter: last of the trial to fail, and when
         # guards against one of very many being wrong: the more may vote and the fewer are needed, the smaller
         agents, needed = self.known["agents"], self.known["back_votes"] or 1
@@ -103,7 +103,8 @@
                 self.judges[operation, stream].least = 1        # one report, as others must have one too
             elif stream == BEFORE:
                 self.judges[operation, stream].least = 5        # three machines, lest a few be taken for all
-        self.judges[operation, stream].add(trial, failures, count, self.agent.alone if alone is None else alone)
+        alone = self.agent.alone if alone is None else alone
+        self.judges[operation, stream].add(trial, failures, count, alone)
 
     def worst(self) -> Judge:
         return max(self.judges.values(), key=Judge.margin, default=Judge(*SLOW, level=ALPHA))
@@ -131,27 +132,31 @@
             for earlier in (d for d in dispatch.invocation.dispatches if d.ended == ERROR):
                 self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
-            much = self.before()
-            old = not appliance.started or self.agent.host.now - appliance.started >= SKIP
-            if much:            # each machine once a stage, when all are in: a few slow ones are not all
-                old = old and self.agent.host.now > self.agent.newest() + S and (
-                    appliance.learned.told_in != self.agent.stage.word)
-            several = self.known["back_votes"] > 1          # one agent's machines and moment are not all
-            if several and much is not None and old and self.agent.host.lag <= STALL and appliance.zone == self.known["zone"]:
-                appliance.learned.told_in = self.agent.stage.word
-                self.add(None, BEFORE, much, outcome.took > too_long, alone=much)
+            self.compare(appliance, outcome.took > too_long)
         if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
             self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
 
     def before(self) -> bool | None:
-        """Whether the trial has much of the traffic now (True) or little (False). Guards against a build that slows
-        every machine alike, in step with its traffic: no side by side comparison shows it."""
-        part, stage = self.known["shares"][self.agent.stage.number], self.agent.stage
-        known = stage.phase == ON_TRIAL and not self.known["in_place"] and (part < LITTLE or part > MUCH)
-        return part > MUCH if known else None
+        """Whether the trial has much of the traffic now (True) or little (False). Guards against a build that
+        slows every machine alike, in step with its traffic: no side by side comparison shows it."""
+        stage = self.agent.stage
+        part, beside = self.known["shares"][stage.number], not self.known["in_place"]
+        return part > MUCH if beside and stage.phase == ON_TRIAL and (part < LITTLE or part > MUCH) else None
+
+    def compare(self, appliance: Appliance, slow: bool) -> None:
+        """Own answers against before, where several must agree: one agent's machines and moment are not all.
+        Each machine counts once a stage, when all of its are in: a few slow ones are not all."""
+        much, agent, now = self.before(), self.agent, self.agent.host.now
+        counts = not appliance.started or now - appliance.started >= SKIP
+        if much:
+            counts = counts and now > agent.newest() + S and appliance.learned.told_in != agent.stage.word
+        if much is not None and counts and agent.host.lag <= STALL and (
+                self.known["back_votes"] > 1 and appliance.zone == self.known["zone"]):
+            appliance.learned.told_in = agent.stage.word
+            self.add(None, BEFORE, much, slow, alone=much)
 
     def tallied(self, tally: Tally) -> None:
-        """Earlier builds' mean time now against before; the sample is the same at all agents, so one level does."""
+        """Earlier builds' mean time now against before; the sample is the same at all agents."""
         much, count, agent = self.before(), tally.count - tally.failures, self.agent
         begun = agent.host.now - tally.age - self.known["tally_time"]
         if much is None or count <= 0 or (much and begun < agent.stage_since):
@@ -159,8 +164,8 @@
         usual = self.usual.setdefault(tally.operation, tally.mean_time)
         if not much:
             self.usual[tally.operation] = usual + (tally.mean_time - usual) // 16
-        slow = exp(-SLOW_BY * log(10) * usual / tally.mean_time)        # beyond what nine tenths took, were they
-        self.add(None, SAMPLED, much, slow * count, count, alone=much)                  # exponential
+        slow = exp(-SLOW_BY * log(10) * usual / tally.mean_time)    # were times exponential
+        self.add(None, SAMPLED, much, slow * count, count, alone=much)
 
     def judged(self, dispatch: Dispatch, failed: bool, slow: bool) -> None:
         operation, appliance, now = dispatch.invocation.operation, dispatch.appliance, self.agent.host.now
@@ -172,8 +177,8 @@
         if dispatch.ended != TIMEOUT:
             self.add(operation, ERRORS, trial, failed)
             self.share(2, trial, failed, 1)
-        # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a jump in load
-        # as the earlier machines go
+        # a cold one is slow whatever its build; a single one or an own stall tells nothing, nor a jump in
+        # load as the earlier machines go
         spoilt = now - appliance.started < SKIP and appliance.started or self.agent.host.lag > STALL or (
             trial and trials == 1) or self.agent.alone
         if not spoilt:
@@ -335,7 +340,7 @@
         slo_time = dispatch.invocation.operation.slo_time
         if how in (SUCCEEDED, FULL):                # guards against lost answers being taken for overload
             self.crawling = how == FULL or outcome.took > 0.3 * slo_time
-        late = outcome.took > 0.7 * slo_time and self.host.lag <= STALL     # clients in a hurry are no overload
+        late = outcome.took > 0.7 * slo_time and self.host.lag <= STALL     # clients in a hurry: no overload
         if appliance.zone == self.known["zone"]:
             self.strain += (late - self.strain) / 16
         if how == FULL or (late and (self.crawling or how != TIMEOUT)):
@@ -438,8 +443,8 @@
         return appliance not in tried and not mute and self.may_go(inv, appliance)
 
     def handy(self, side: list[Appliance]) -> list[Appliance]:
-        """Of the own zone, which costs least, unless that is strained. Where new connections fail, those that have
-        one: guards against appliances that take few, and links that break off."""
+        """Of the own zone, which costs least, unless that is strained. Where new connections fail, those that
+        have one: guards against appliances that take few, and links that break off."""
         home, now, idle = self.known["zone"], self.host.now, self.known["idle_time"]
         stays, luck = side is self.earlier and self.chance.random() >= 4 * self.strain, self.chance.random()
         near = [a for a in side if a.zone == home] if stays else side
@@ -460,7 +465,7 @@
         """The trial gets its machines' part, to be judged at full load before its release. Repeats go to the
         earlier build, unless the key must stay."""
         tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
-        fair = self.stage and self.stage.phase == ON_TRIAL      # also after an own 'back', lest evidence freezes
+        fair = self.stage and self.stage.phase == ON_TRIAL  # also after an own 'back': evidence grows
         if not tried and self.cold and self.credit >= 0:
             sides.insert(0, [a for a in self.cold if fair or self.cap_of(a) is None])
         elif not tried and fair and self.chance.random() * self.places < sum(
@@ -568,13 +573,13 @@
         self.exposures[operation].take(host.now)
         end = inv.expires - 2 * known["tick"]               # rule 1: the last moment for our answer
         useful = end if operation.late_value > 0 else min(end, inv.taken + operation.slo_time)
-        scarce = min(2.0, operation.billed_value / self.least_value)    # overload: what is worth most goes first
+        scarce = min(2.0, operation.billed_value / self.least_value)    # in overload, worth most goes first
         part = self.chance.random()                         # chance stands for what is less than one dispatch
         while True:
             # 1. a pair, or hold; overload is told by how long the oldest held one has waited
             held_until, pair = min(useful, host.now + operation.slo_time // 6), []
             while not inv.concluded:
-                if self.open + part < self.limit * scarce or host.lag > STALL:      # an own stall withheld these
+                if self.open + part < self.limit * scarce or host.lag > STALL:  # a stall withheld these
                     pair = self.pick(inv)
                 if pair or host.now >= held_until:
                     break
