--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -28,7 +28,7 @@
 SKIP = 5 * S                                # slowness of an appliance younger than this is no evidence
 SLOW_BY = 1.4                               # beyond what cold memories of keys explain
 FEW = 4.0                                   # so many open ones an agent is free to reach
-LOOK, STALL, STALE = 500 * MS, 150 * MS, 2 * S  # between looks at evidence; own stall; load is no longer known
+LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
 HOLD_ABOVE, HOLD_MOST = 4.5, 3 * S          # undecided evidence delays 'on', at most so long a stage
@@ -431,7 +431,7 @@
 
     def busy(self, appliance: Appliance) -> float:
         health, now = appliance.learned, self.host.now
-        load = max(health.open + 0.5, health.load if now - health.load_at < STALE else 0)
+        load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
         load += 4 * (health.heard < health.probed)          # guards against appliances that stand still
         load += 0.3 * (appliance.zone != self.known["zone"])
         return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
