After a release, an error that no repeat tells from one anywhere is no evidence

To blame: Jury.weigh counted errors of side-effecting and complete invocations at once, where worthless ones err at any machine; the earlier side was of before they came. Side by side both sides have them, so it stays there.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -133,7 +133,8 @@
                 self.judged(earlier, True, True)
             self.share(0, trial, 0, 1)
             self.compare(appliance, outcome.took > too_long)
-        if how != ERROR or outcome.complete or operation.effect == SIDE_EFFECTING:
+        alone = self.agent.alone    # then an error that no repeat tells from one anywhere is no evidence
+        if how != ERROR or not alone and (outcome.complete or operation.effect == SIDE_EFFECTING):
             self.judged(dispatch, how in (ERROR, RESET), how != SUCCEEDED or outcome.took > too_long)
 
     def before(self) -> bool | None:
