Tests of the move's failures that had none; peers are judged by the checked document

Read once more: settings/move.py parsed yes and no by itself, which the schema does (y and t were taken for no); it asks the checked document now.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -532,7 +532,7 @@
         return newest if listed else self.stage_since + 8 * S
 
     def plan(self, verdict: str) -> None:
-        """One vote at a random moment within the spread; cast anew once when it lapsed or was refused."""
+        """One vote at a random moment within the spread; cast anew as it lapses or is refused."""
         vote = (self.stage.build, self.stage.number, verdict)
         if self.vote not in (vote, (*vote[:2], BACK)):
             self.vote, self.may_recast = vote, True
--- a/cartweir/settings/move.py
+++ b/cartweir/settings/move.py
@@ -56,11 +56,8 @@
         stays = {key: value for key, value in before.get(name, {}).items() if key in REACH}
         new[name] = {**stays, **there.get(name, {})}
         lost.extend(_lost(name, before.get(name, {}), new[name]))
-    messages = new["allowed"].get("may_message", "no").lower() in ("yes", "true", "on", "1")
-    if "peers" in before and messages:
+    if "peers" in before:
         new["peers"] = dict(before["peers"])
-    elif "peers" in before:
-        lost.append(f"[peers]: {len(before['peers'])} addresses: agents send no messages in the new shape")
     for name in filter(_operation, before):
         if name not in there:
             lost.append(f"[{name}]: no such operation in the new shape: its calls are refused as unknown")
@@ -69,12 +66,11 @@
         methods = {"methods": old_keys["methods"]} if "methods" in old_keys else {}
         new[name] = {**methods, **there[name]}
         lost.extend(_lost(name, old_keys, new[name]))
+    document = check_agent(f"{old} with {shape}", new)
+    if "peers" in new and not document.allowed.may_message:
+        lost.append(f"[peers]: {len(new.pop('peers'))} addresses: agents send no messages in the new shape")
     text = "\n".join("\n".join([f"[{name}]", *(f"{key} = {value}" for key, value in keys.items()), ""])
                      for name, keys in new.items() if keys)
-    try:
-        check_agent("the counterpart", new)
-    except BadInput as error:
-        raise BadInput([f"{old} with {shape}: {line}" for line in error.problems]) from None
     return Moved(text, lost)
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -259,7 +259,7 @@
     scene.matches("in_time")
 
 
-def test_votes_refused_and_lapsed_are_cast_anew_once():
+def test_votes_refused_and_lapsed_are_cast_anew():
     scene = on_trial()
     scene.traffic(6 * S)
     scene.stage(0, 0, 0.0, answer="full")
@@ -349,9 +349,9 @@
 
 
 def test_standing_connections_are_kept_to_where_new_ones_fail():
-    """Guards against appliances that take few connections: two of ten take them here."""
+    """Guards against appliances that take few connections: two of thirty take them here."""
     scene, sent = Scene(), []
-    scene.list(*(f"a{n}" for n in range(10)))
+    scene.list(*(f"a{n}" for n in range(30)))
     scene.released()
 
     def how(dispatch):
@@ -359,7 +359,7 @@
         return "succeeded" if sent[-1] else UNCONNECTED
 
     scene.traffic(6 * S, how)
-    assert sum(sent[-100:]) > 75
+    assert sent.count(False) < 100              # 175 when any two of all were tried until shut
 
 
 def test_the_own_zone_comes_first_until_it_is_strained():
@@ -391,6 +391,83 @@
     assert len(scene.out) == before + 30
 
 
+def test_few_invocations_are_no_overload():
+    """Guards against the tail of service times: a bound that little traffic never tests grows back by itself."""
+    scene = Scene(may_probe=False)
+    scene.list("a0", "a1")
+    scene.released()
+    scene.agent.limit = 0.5
+    scene.traffic(60 * S, every=250 * MS)
+    assert scene.agent.limit > 3.5
+
+
+def test_clients_in_a_hurry_do_not_lower_the_bound():
+    """They come with 300 ms of an SLO time of 1 s; half is answered after 200 ms, half not in time."""
+    scene = Scene(may_probe=False, may_duplicate=True)
+    scene.list("a0", "a1")
+    scene.released()
+    scene.agent.limit = 8.0
+    for number in range(100):
+        scene.take(scene.issue, left=300 * MS)
+        scene.pass_to(scene.engine.now + 290 * MS)
+        for dispatch in list(scene.out):
+            scene.end(dispatch, TIMEOUT if number % 2 else "succeeded")
+    assert scene.agent.limit >= 8.0
+
+
+def test_what_is_worth_more_has_more_room():
+    scene = Scene(may_probe=False)
+    scene.list("a0", "a1")
+    scene.released()
+    scene.order.billed_value, scene.agent.limit = 3.0, 4.0
+    for operation in (scene.draw, scene.order):
+        for _ in range(20):
+            scene.take(operation)
+        scene.lines.append(f"{len(scene.out)} out")
+    assert [line for line in scene.lines if line.endswith(" out")] in (["4 out", "8 out"], ["5 out", "9 out"])
+
+
+def test_a_report_without_a_load_ends_the_probes():
+    """Guards against a fresh load of 0, worse than none: a queue and mean time tell it, a rate alone does not."""
+    scene = Scene()
+    scene.list("a0", "a1")
+    one, asked = scene.fleet["a0"], []
+    scene.probe = asked.append
+    scene.agent.on_probe(one, True, MS, {"queue": 3.0, "rate": 20.0, "mean_ms": 100.0})
+    assert one.learned.load == 5.0 and scene.agent.probes_tell
+    scene.agent.on_probe(one, True, MS, {"rate": 20.0})
+    assert one.learned.load == 5.0
+    scene.pass_to(5 * S)
+    scene.take(scene.draw)
+    assert not asked
+
+
+def test_votes_through_an_outage_of_the_conveyor():
+    """Each gets no answer: the first is cast anew at once, then one in a quarter to half of the vote's life."""
+    scene = on_trial()
+    scene.traffic(6 * S)
+    cast = [line for line in scene.lines if "vote on" in line]
+    while scene.engine.now < 20 * S:
+        if len(now := [line for line in scene.lines if "vote on" in line]) > len(cast):
+            cast = now
+            scene.stage(0, 0, 0.0, answer="timeout")
+        scene.pass_to(scene.engine.now + 20 * MS)
+    assert 5 <= len(cast) <= 10
+
+
+def test_a_vote_back_lapses_with_its_evidence():
+    """Guards against false reports that add up over a stage: the count of an agent that voted back goes on."""
+    scene = on_trial(flag_share=0.3, back_votes=3, agents=30, vote_life=2 * S)
+    scene.agent.votes = True
+    scene.agent.jury.share(0, False, 0, 60)
+    scene.agent.jury.share(0, True, 0, 3)
+    scene.agent.on_flag(scene.draw, scene.fleet["new0"], S)
+    scene.agent.review()
+    scene.traffic(8 * S)
+    votes = [line for line in scene.lines if "vote back on" in line]
+    assert votes and float(votes[-1].split()[0]) < 6 and (scene.agent.vote or ("on",))[-1] != "back"
+
+
 def test_exposure_counts_by_operation():
     scene = Scene(per_operation=True)
     scene.list("old0")
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -62,11 +62,11 @@
         "[appliances] drain_grace = 2s: the shape has 500ms",
         "[release] shares = 0.2, 1: the shape has 0.1, 0.4, 1",
         "[release] caps = 0.2, 1: the shape has 0.17, 0.68, 1",
-        "[peers]: 1 addresses: agents send no messages in the new shape",
         "[operation order]: no such operation in the new shape: its calls are refused as unknown",
         "[operation issue]: no such operation in the new shape: its calls are refused as unknown",
         "[operation tiles]: no such operation in the new shape: its calls are refused as unknown",
-        "[operation view] time_limit = 2s: the shape has 3s"]
+        "[operation view] time_limit = 2s: the shape has 3s",
+        "[peers]: 1 addresses: agents send no messages in the new shape"]
 
 
 def test_a_dry_run_changes_nothing_and_nothing_is_written_over(tmp_path):
