Pooled slowness needs six trial machines past their first 5 s

To blame: Jury.judged asked for more than three trial machines listed, of which most had just started and gave no evidence: that of all agents came from four.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -185,7 +185,8 @@
         if not spoilt:
             self.add(operation, SLOW, trial, slow)
             self.add(None, SLOW, trial, slow)
-            if trials > 3:      # what strikes a few machines is not the build's doing
+            grown = sum(now - a.started >= SKIP for a in self.agent.trial)
+            if grown > 5:       # what strikes a few machines is not the build's doing
                 self.share(1, trial, slow, 1)
 
 
