An agent on the platform's own sockets: HTTP/1.1, desk, discovery, datagrams

Need: the users' platform speaks HTTP/1.1 to clients, appliances and discovery, JSON-RPC to its desk and UDP among agents.

The node imports no gRPC, protobuf, pydantic or typer.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -28,7 +28,8 @@
 from cartweir.standin.registry import Registry  # noqa: E402
 from cartweir.wire import grpc  # noqa: E402
 from cartweir.wire.calls import Channel, Service  # noqa: E402
-from cartweir.wire.link import Link, connect, split_address  # noqa: E402
+from cartweir.wire.link import Link  # noqa: E402
+from cartweir.wire.tcp import connect, split_address  # noqa: E402
 from cartweir.wire.session import Limits  # noqa: E402
 
 PATH = "/bench.Bodies/Get"
--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -25,8 +25,9 @@
 from .ending import Ending
 from .front import Bounds, ClientCall, Front, Note
 from .links import Attempt, Links, Reach
-from .news import TELL, ConveyorNews, Peers, RegistryNews, Waits
+from .news import TELL, ConveyorNews, Peers, RegistryNews
 from .seat import Seat
+from .waits import Waits
 
 
 def operations_of(document: AgentDocument) -> tuple[Operation, ...]:
--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -13,7 +13,8 @@
 from ..interface import Invocation, Operation
 from ..wire import grpc
 from ..wire.grpc import BodyWalk, Headers, Malformed, Status
-from ..wire.link import Link, LinkStream, Tap, split_address
+from ..wire.link import Link, Tap
+from ..wire.tcp import LinkStream, split_address
 from ..wire.session import Limits, Stream
 from . import names
 from .clock import Clock
--- a/cartweir/agent/links.py
+++ b/cartweir/agent/links.py
@@ -14,8 +14,9 @@
 from ..proto import health_pb2
 from ..wire import grpc
 from ..wire.grpc import BodyWalk, Headers, Malformed
-from ..wire.link import Link, Tap, connect, spawn, split_address
+from ..wire.link import Link, Tap
 from ..wire.session import Limits, Stream
+from ..wire.tcp import connect, spawn, split_address
 from . import names
 from .front import ClientCall
 from .seat import Seat
--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import random
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -18,31 +17,16 @@
 from ..roster import Row
 from ..wire.calls import CallError, Channel
 from ..wire.grpc import Malformed, Status
-from ..wire.link import spawn
+from ..wire.tcp import spawn
 from .links import Links
 from .names import ANSWERS, CHOICES, PHASES, STATES
 from .seat import Seat
+from .waits import Waits
 
 Note = Callable[..., None]
 TELL = b"/cartweir.v1.Peer/Tell"
 
 
-class Waits:
-    """Of tries to connect: doubling from the least to the most, each cut by chance to at least half."""
-
-    def __init__(self, least: int, most: int, chance: random.Random) -> None:
-        self.least, self.most, self.chance = least, most, chance
-        self._next = least
-
-    def again(self) -> float:
-        """Seconds to wait before the next try."""
-        wait, self._next = self._next, min(2 * self._next, self.most)
-        return wait * (0.5 + self.chance.random() / 2) / 1e6
-
-    def fine(self) -> None:
-        self._next = self.least
-
-
 def write_whole(path: Path, text: str) -> None:
     """The file holds the old text or the new one, never a part. Raises OSError."""
     part = path.with_name(path.name + ".part")
--- a/cartweir/cores/supervisor.py
+++ b/cartweir/cores/supervisor.py
@@ -21,7 +21,7 @@
 from ..agent.clock import monotonic
 from ..agent.daemon import make_log
 from ..settings.schema import AgentDocument
-from ..wire.link import split_address
+from ..wire.tcp import split_address
 from .book import new_files
 from .division import Tending
 from .part import DECIDER, Role, live
--- /dev/null
+++ b/cartweir/node/daemon.py
@@ -0,0 +1,167 @@
+"""The daemon: one agent on one loop, from what the platform told it to its end."""
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import signal
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from tornado.ioloop import IOLoop
+
+from ..agent import clock
+from ..agent.alarms import Alarms
+from ..agent.clock import Clock, turns_of
+from ..agent.seat import Seat
+from ..agent.waits import Waits
+from ..interface import Appliance, Dispatch
+from .config import Config, ConfigError, read
+from .desk import Desk
+from .discovery import Discovery
+from .front import Call, Front
+from .links import Attempt, Links, Reach
+from .peers import Peers
+
+MS, S = 1_000, 1_000_000
+HEARTBEAT = 20 * MS
+PROBE_TIMEOUT = 250 * MS
+RECONNECT = 50 * MS, S
+RESERVE = 24                # descriptors for what is neither a client nor an appliance
+END_CHECK = 20 * MS
+
+
+class Daemon:
+    """Being the seat's World, it hands each wish to the part that carries it out."""
+
+    def __init__(self, config: Config, reread: Callable[[], Config] = read) -> None:
+        self.config, self.reread = config, reread
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock(HEARTBEAT, turns_of(self.loop))
+        known = config.known
+        room = max(16, config.sockets - RESERVE)
+        idle = known["idle_time"]
+        self.links = Links(Reach(known["connect_timeout"], PROBE_TIMEOUT, idle * 6 // 10, room // 2), self.clock.now, self.note)
+        self.alarms = Alarms(IOLoop.current(), self.clock.now, lambda: self.seat.alarm())
+        self._to_say: list[Callable[[], None]] = []     # wishes of the decisions before there is whom to tell
+        self.discovery: Discovery | None = None
+        self.seat = self.links.seat = Seat(self, known, config.seed)
+        self.discovery = Discovery(self.seat, self.links, config.discovery, self.clock.now, self.note)
+        self.desk = Desk(self.seat, config.desk, known["vote_timeout"],
+                         Waits(*RECONNECT, random.Random(config.seed + 1)), self.note)
+        self.peers = Peers(self.seat, config.peer_listen, config.peers, config.peers_all, self.note) if (
+            known["may_message"] and config.peer_listen) else None
+        self.front = Front(self.seat, self.clock, room // 2, self.note)
+        self.ended = asyncio.Event()
+
+    # ---- the World ----
+    def now(self) -> int:
+        return self.clock.now()
+
+    def alarm_at(self, due: int) -> None:
+        self.alarms.ask(due)
+
+    def soon(self, do: Callable[[], None]) -> None:
+        self.loop.call_soon(do)
+
+    def start(self, dispatch: Dispatch, call: Call) -> Attempt:
+        return self.links.start(dispatch, call)
+
+    def probe(self, appliance: Appliance) -> None:
+        self.links.probe(appliance)
+
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        self.desk.vote(build, stage, verdict)
+
+    def subscribe(self) -> None:
+        if self.discovery is None:          # asked for in the module's own first moment
+            self._to_say.append(self.subscribe)
+        else:
+            self.discovery.subscribe()
+
+    def fetch_list(self) -> None:
+        self.discovery.fetch()
+
+    def message(self, to: int | None, figures: list[int]) -> None:
+        if self.peers is not None:
+            self.peers.message(to, figures)
+
+    def note(self, event: str, level: str = "info", **facts: Any) -> None:
+        if level != "debug" and event not in ("dispatch", "answer", "left"):
+            print(f"{self.clock.now() / 1e6:.3f} {event}", *(f"{name}={value}" for name, value in facts.items()),
+                  file=sys.stderr, flush=True)
+
+    # ---- its life ----
+    def start_up(self) -> str:
+        """Returns the address that clients may use. Raises OSError where it cannot listen."""
+        self.discovery.start(self.config.listed)
+        for say in self._to_say:
+            say()
+        if not self.seat.known["must_ask"]:
+            self.discovery.subscribe()
+        self.desk.start(self.config.stage)
+        address = self.front.listen(self.config.listen)
+        self._beat()
+        self.note("started", listen=address, me=self.seat.known["me"], agents=self.seat.known["agents"],
+                  appliances=len(self.seat.roster.appliances))
+        return address
+
+    def _beat(self) -> None:
+        stalled = self.clock.beat()
+        if stalled > 100 * MS:
+            self.note("stalled", level="warning", milliseconds=stalled // 1000)
+        self.loop.call_later(HEARTBEAT / 1e6, self._beat)
+
+    def reload(self) -> None:
+        """SIGHUP: discovery and desk may be elsewhere. A configuration that can't be read changes nothing."""
+        try:
+            config = self.reread()
+        except ConfigError as error:
+            self.note("config_bad", level="warning", why=str(error))
+            return
+        self.note("reloaded", discovery=config.discovery, desk=config.desk)
+        self.discovery.move(config.discovery)
+        self.desk.move(config.desk)
+
+    def terminate(self) -> None:
+        """SIGTERM: what has been taken, and what still comes, is answered; then the end."""
+        if not self.front.draining:
+            self.note("draining", held=len(self.seat.calls))
+            self.front.drain()
+            self._check_end()
+
+    def _check_end(self) -> None:
+        if self.front.busy or self.seat.calls:
+            self.loop.call_later(END_CHECK / 1e6, self._check_end)
+        else:
+            self.note("stopped")
+            self.ended.set()
+
+
+def tell_fault(note: Callable[..., None], context: dict[str, Any]) -> None:
+    """An exception that nobody was there for: told with its place, and the agent goes on."""
+    error = context.get("exception")
+    where = traceback.extract_tb(error.__traceback__)[-1] if error and error.__traceback__ else None
+    note("internal_error", level="error", what=context.get("message"), error=repr(error),
+         where=f"{where.filename.rpartition('/')[2]}:{where.name}:{where.lineno}" if where else None)
+
+
+async def run(config: Config) -> None:
+    """Until it is told to end. Raises OSError where it cannot listen."""
+    daemon = Daemon(config)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: tell_fault(daemon.note, context))
+    loop.add_signal_handler(signal.SIGTERM, daemon.terminate)
+    loop.add_signal_handler(signal.SIGINT, daemon.terminate)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    daemon.start_up()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    await daemon.ended.wait()
+
+
+def main(config: Config) -> None:
+    with asyncio.Runner(loop_factory=clock.loop) as runner:
+        runner.run(run(config))
--- /dev/null
+++ b/cartweir/node/desk.py
@@ -0,0 +1,148 @@
+"""The platform's desk: news on a connection of their own, and votes. JSON-RPC 2.0, one object a line."""
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from .. import interface as ours
+from ..agent.seat import Seat
+from ..agent.waits import Waits
+from ..interface import Stage, Tally
+from ..wire.tcp import connect, spawn, split_address
+from . import names
+
+MOST_LINE = 64 * 1024
+CONNECT = 1_000_000         # microseconds
+QUIET = 3_000_000           # a sign of life is due every second
+Note = Callable[..., None]
+
+
+class Lost(Exception):
+    """The connection is of no further use."""
+
+
+async def _line(stream: IOStream, wait: int) -> dict[str, Any]:
+    """Raises Lost: what can't be read says nothing, and nothing behind it is to be trusted."""
+    try:
+        told = json.loads(await asyncio.wait_for(stream.read_until(b"\n", max_bytes=MOST_LINE), wait / 1e6))
+    except (asyncio.TimeoutError, TimeoutError):
+        raise Lost(f"nothing for {wait // 1000} ms") from None
+    except StreamClosedError as error:
+        raise Lost(str(error.real_error or "closed by the other side")) from None
+    except (ValueError, RecursionError, UnsatisfiableReadError) as error:
+        raise Lost(f"a line that can't be read ({type(error).__name__})") from None
+    if not isinstance(told, dict) or told.get("jsonrpc") != "2.0":
+        raise Lost("a line that is no JSON-RPC")
+    return told
+
+
+class Desk:
+    def __init__(self, seat: Seat, address: str, vote_timeout: int, waits: Waits, note: Note) -> None:
+        self.seat, self.address, self.vote_timeout, self.waits, self.note = seat, address, vote_timeout, waits, note
+        self.stages = len(seat.known["caps"]) or 1
+        self._listener: asyncio.Task | None = None
+        self._lost, self._word, self._calls = False, None, 0
+
+    def start(self, state: Mapping[str, Any]) -> None:
+        """With the newest build's state as it stood at the start."""
+        if state:
+            try:
+                self._stage(state, None)
+            except ValueError as error:
+                self.note("stage_unknown", level="warning", why=str(error))
+        self._listener = spawn(self._listening())
+
+    def move(self, address: str) -> None:
+        if address != self.address:
+            self.address, old = address, self._listener
+            self._listener = spawn(self._listening())
+            if old is not None:
+                old.cancel()
+
+    # ---- news ----
+    async def _listening(self) -> None:
+        while True:
+            told, stream = False, None
+            try:
+                stream = await connect(*split_address(self.address), CONNECT)
+                stream.write(b'{"jsonrpc":"2.0","id":1,"method":"listen"}\n')
+                while True:
+                    line = await _line(stream, QUIET)
+                    if line.get("id") == 1 and line.get("result") is not True:
+                        raise Lost(f"listen was answered {str(line)[:80]}")
+                    if not told:
+                        told = True
+                        self.waits.fine()
+                        if self._lost:
+                            self._lost = False
+                            self.note("desk_back")
+                    self._news(line.get("method"), line.get("params"))
+            except (Lost, OSError, ValueError, StreamClosedError) as error:
+                if told or not self._lost:
+                    self._lost = True
+                    self.note("desk_lost", level="warning", why=str(error)[:200])
+            finally:
+                if stream is not None:
+                    stream.close()
+            await asyncio.sleep(self.waits.again())
+
+    def _news(self, method: Any, told: Any) -> None:
+        """Raises ValueError."""
+        if method == "news":
+            self._stage(told, None)
+        elif method == "report" and isinstance(told, dict):
+            self.seat.flagged(str(told.get("class")), str(told.get("server")), round(float(told.get("age_ms", 0)) * 1000))
+        elif method == "counts" and isinstance(told, dict):
+            operation = self.seat.operations.get(str(told.get("class")))
+            if operation is not None:
+                self.seat.tallied(Tally(int(told["build"]), operation, int(told["count"]), int(told["failed"]),
+                                        round(float(told.get("mean_ms", 0)) * 1000), round(float(told.get("age_ms", 0)) * 1000)))
+
+    def _stage(self, told: Any, answer: str | None) -> None:
+        """Raises ValueError."""
+        stage = names.stage_of(told, self.stages, answer)
+        if self._word != (stage.word, stage.cap):
+            self._word = (stage.word, stage.cap)
+            self.note("stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap)
+        self.seat.staged(stage)
+
+    # ---- votes ----
+    def vote(self, build: int, stage: int, verdict: str) -> None:
+        spawn(self._voting(build, stage, verdict))
+
+    async def _voting(self, build: int, stage: int, verdict: str) -> None:
+        """On a connection of its own: order is all that links answers to calls, and votes are few."""
+        how, told, written, stream = "error", None, False, None
+        self._calls += 1
+        call = {"jsonrpc": "2.0", "id": self._calls, "method": "verdict",
+                "params": {"build": build, "stage": stage, "verdict": names.VERDICTS[verdict]}}
+        try:
+            async with asyncio.timeout(self.vote_timeout / 1e6):
+                stream = await connect(*split_address(self.address), self.vote_timeout)
+                written = True
+                await stream.write(json.dumps(call).encode() + b"\n")
+                answer = await _line(stream, self.vote_timeout)
+                if answer.get("id") != call["id"]:
+                    raise Lost("an answer to another call")
+                if "error" in answer:
+                    message = answer["error"].get("message") if isinstance(answer["error"], dict) else None
+                    how = names.REFUSALS.get(message, "timeout")
+                else:
+                    told, how = answer.get("result"), "ok"
+        except (Lost, OSError, ValueError, StreamClosedError, TimeoutError):
+            how = "timeout" if written else "error"     # it may have been heard once it was written
+        finally:
+            if stream is not None:
+                stream.close()
+        self.note("vote", build=build, stage=stage, verdict=verdict, answer=how)
+        if how == "ok":
+            try:
+                self._stage(told, "ok")
+                return
+            except ValueError:
+                how = "timeout"
+        self.seat.staged(Stage(build, stage, ours.ON_TRIAL, 0.0, 0, how))
--- /dev/null
+++ b/cartweir/node/discovery.py
@@ -0,0 +1,151 @@
+"""The list of appliances: a watch while the decisions want one, and what it says. One connection at a time, but for the
+moment in which a new address takes over from an old one."""
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from ..agent.seat import Seat
+from ..wire import http1
+from ..wire.http1 import Malformed, Pieces
+from ..wire.tcp import CHUNK, connect, spawn, split_address
+from . import names
+from .links import Links
+
+CONNECT = 1_000_000         # microseconds
+FIRST = 2_500_000           # for the first word of an answer: calls are worked through in turn
+QUIET = 2_800_000           # an empty line is due every 2 s: a watch that is silent for so long has gone
+MOST_LINE = 4 * 1024 * 1024
+Note = Callable[..., None]
+
+
+class Lost(Exception):
+    """The watch has ended."""
+
+
+class Discovery:
+    def __init__(self, seat: Seat, links: Links, address: str, now: Callable[[], int], note: Note) -> None:
+        self.seat, self.links, self.address, self.now, self.note = seat, links, address, now, note
+        self.version: int | None = None
+        self._watch: asyncio.Task | None = None
+        self._lost = False
+
+    def start(self, listed: Mapping[str, Any]) -> None:
+        """With the list held last: it may be old."""
+        try:
+            self._apply("cached", listed.get("endpoints", ()))
+        except ValueError as error:
+            self.note("list_bad", level="warning", why=str(error))
+            self.seat.listed("cached", ())
+
+    def subscribe(self) -> None:
+        if self._watch is None or self._watch.done():
+            self._watch = spawn(self._watching(None))
+
+    def fetch(self) -> None:
+        spawn(self._fetching())
+
+    def move(self, address: str) -> None:
+        """Another address from now on; the old watch ends once the new one has told something."""
+        if address != self.address:
+            self.address, old = address, self._watch
+            self._watch = spawn(self._watching(old))
+
+    # ---- the watch ----
+    async def _watching(self, old: asyncio.Task | None) -> None:
+        """Ends with the watch: whether and when to ask again is the decisions' to say."""
+        stream: IOStream | None = None
+        me, why = asyncio.current_task(), ""
+        try:
+            after = b"" if self.version is None else b"&from=%d" % self.version
+            stream, reader = await self._asked(b"/api/targets?watch=1" + after)
+            text, wait = b"", FIRST
+            while True:
+                data = await self._read(stream, wait)
+                *lines, text = (text + reader.take(data)).split(b"\n")
+                if reader.status not in (0, 200):
+                    raise Lost(f"status {reader.status}")
+                if len(text) > MOST_LINE:
+                    raise Lost("a line without end")
+                for line in lines:
+                    if line.strip():
+                        wait = QUIET
+                        self._listing(line)
+                        if old is not None:
+                            old.cancel()
+                            old = None
+                if reader.answer is not None:
+                    raise Lost("the watch was ended")
+        except (Lost, Malformed, OSError, ValueError, RecursionError, StreamClosedError) as error:
+            why = str(error) or type(error).__name__
+        finally:
+            if old is not None:
+                old.cancel()
+            if stream is not None:
+                stream.close()
+        if self._watch is me:
+            if not self._lost:
+                self._lost = True
+                self.note("discovery_lost", level="warning", why=why[:200])
+            self._watch = None
+            self.seat.listed("failed")
+
+    async def _fetching(self) -> None:
+        stream: IOStream | None = None
+        try:
+            stream, reader = await self._asked(b"/api/targets")
+            text = b""
+            while reader.answer is None:
+                text += reader.take(await self._read(stream, FIRST))
+                if len(text) > MOST_LINE:
+                    raise Lost("a list without end")
+            if reader.answer.status != 200:
+                raise Lost(f"status {reader.answer.status}")
+            self._listing(text)
+        except (Lost, Malformed, OSError, ValueError, RecursionError, StreamClosedError) as error:
+            self.note("fetch_failed", level="warning", why=str(error)[:200])
+            self.seat.listed("failed")
+        finally:
+            if stream is not None:
+                stream.close()
+
+    async def _asked(self, target: bytes) -> tuple[IOStream, Pieces]:
+        stream = await connect(*split_address(self.address), CONNECT)
+        stream.write(http1.request(b"GET", target, ((b"Host", self.address.encode()),)))
+        return stream, Pieces()
+
+    async def _read(self, stream: IOStream, wait: int) -> bytes:
+        try:
+            return await asyncio.wait_for(stream.read_bytes(CHUNK, partial=True), wait / 1e6)
+        except (asyncio.TimeoutError, TimeoutError):
+            raise Lost(f"nothing for {wait // 1000} ms") from None
+        except StreamClosedError as error:
+            raise Lost(str(error.real_error or "closed by the other side")) from None
+        except UnsatisfiableReadError:
+            raise Lost("too much to read") from None
+
+    # ---- what it says ----
+    def _listing(self, line: bytes) -> None:
+        """Raises ValueError."""
+        told = json.loads(line)
+        if not isinstance(told, dict) or not isinstance(told.get("endpoints"), list):
+            raise ValueError(f"no list: {line[:80]!r}")
+        version = told.get("index")
+        whole = bool(told.get("snapshot"))
+        self._apply("whole" if whole else "changes", told["endpoints"])
+        self.version = version if type(version) is int else None
+        if self._lost:
+            self._lost = False
+            self.note("discovery_back", version=self.version)
+        self.note("list", level="debug", version=self.version, named=len(told["endpoints"]))
+
+    def _apply(self, how: str, entries: Any) -> None:
+        rows = names.rows_of(entries, self.now())
+        for row, address in rows:
+            if address:
+                self.links.addresses[row.ident] = address
+        self.links.listed(self.seat.listed(how, [row for row, _ in rows]))
--- /dev/null
+++ b/cartweir/node/front.py
@@ -0,0 +1,290 @@
+"""The clients' side: connections, the check of each request, and its one answer.
+
+Clients are not trusted: what can't be understood gets an error of its own (never 429 or 503, which promise something)
+and loses its connection, and connections that say nothing are the first to go when descriptors run short.
+"""
+from __future__ import annotations
+
+import asyncio
+import errno
+import re
+import socket
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from ..agent.clock import Clock
+from ..agent.seat import Seat
+from ..interface import FINGERPRINTED, IDEMPOTENT, Invocation, Operation
+from ..wire import http1
+from ..wire.http1 import Malformed, Request, Requests
+from ..wire.tcp import Socket, split_address
+from . import names
+
+MS = 1000
+SILENT = 2_000 * MS         # a connection without a whole request by then is closed: a usual client asks at once
+SPARE = 2_000 * MS          # one that has been served may go after so long without another
+LINGER = 500 * MS           # for the other side to read why, while it is still sending
+MOST_LINGER = 256 * 1024
+SWEEP = 100 * MS
+LATE_COMERS = 600 * MS      # after the word to end, connections keep coming for a while
+_IDENT = re.compile(rb"[!-~]{1,128}")
+Note = Callable[..., None]
+
+
+class Call:
+    """One request that is owed an answer."""
+
+    __slots__ = ("client", "ident", "head", "body", "invocation")
+
+    def __init__(self, client: Client, ident: bytes, head: list[tuple[bytes, bytes]], request: Request) -> None:
+        self.client, self.ident, self.body = client, ident, request.body
+        self.head = (request.method, request.target, head)      # what goes on unchanged
+        self.invocation: Invocation | None = None
+
+    def succeed(self, head: Any, body: list[bytes], tail: Any) -> None:
+        self._answer(200, b"".join(body))
+
+    def throttle(self, retry_after: int) -> None:
+        self._answer(429, headers=((b"Retry-After", b"%.3f" % (retry_after / 1e6)),) if retry_after else ())
+
+    def terminate(self) -> None:
+        self._answer(500)
+
+    def _answer(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
+        client, self.client = self.client, None
+        if client is not None:
+            client.front.calls.pop(self.ident, None)
+            client.call = None
+            client.say(status, body, headers)
+
+
+class Client:
+    """One connection."""
+
+    __slots__ = ("front", "socket", "reader", "call", "since", "served", "over", "stays", "drained")
+
+    def __init__(self, front: Front, sock: socket.socket) -> None:
+        self.front, self.reader = front, Requests()
+        self.call: Call | None = None
+        self.since = front.clock.now()          # connected, last answered, or told why it ends
+        self.served = self.over = False         # over: only the other side's reading is awaited
+        self.stays, self.drained = True, 0
+        self.socket = Socket(front.loop, sock, self)
+
+    # ---- in ----
+    def on_data(self, data: bytes) -> None:
+        if self.over:
+            self.drained += len(data)
+            if self.drained > MOST_LINGER:
+                self.close()
+            return
+        try:
+            requests = self.reader.feed(data)
+        except Malformed as error:
+            self.refuse(error.status, error.reason)
+            return
+        if not requests:
+            if self.call is not None:
+                self.refuse(400, "a second request before the first was answered")
+            return
+        if self.call is not None or len(requests) > 1 or self.reader.begun:
+            self.refuse(400, "several requests at once on a connection")
+            return
+        self.front.idle.pop(self, None)
+        self.stays = requests[0].stays
+        try:
+            self.front.take(self, requests[0])
+        except Malformed as error:
+            self.refuse(error.status, error.reason)
+
+    def on_lost(self, why: str) -> None:
+        self.close()
+
+    # ---- out ----
+    def refuse(self, status: int, reason: str) -> None:
+        """An error of the front's own, and the end of the connection."""
+        self.front.refused += 1
+        self.leave()
+        self.stays = False
+        self.say(status, reason.encode("latin-1", "replace") + b"\n")
+
+    def say(self, status: int, body: bytes, headers: Any = ()) -> None:
+        if self.socket.closed:
+            return
+        front = self.front
+        stays = self.stays and not front.draining
+        self.since, self.served = front.clock.now(), True
+        try:
+            self.socket.write(http1.answer(status, body, headers, stays))
+        except OSError:
+            self.close()
+            return
+        if not stays:
+            self.over = True
+            if not self.socket.unsent:
+                self.socket.finish()
+        front.idle[self] = None
+
+    def leave(self) -> None:
+        """The request that is open here is not wanted any more."""
+        call, self.call = self.call, None
+        if call is not None:
+            call.client = None
+            self.front.calls.pop(call.ident, None)
+            if call.invocation is not None:
+                self.front.seat.left(call.invocation)
+
+    def close(self) -> None:
+        if not self.socket.closed:
+            self.socket.close()
+            self.reader.close()
+            self.front.idle.pop(self, None)
+            self.front.clients.discard(self)
+            self.leave()
+
+
+class Front:
+    """most: connections of clients at a time."""
+
+    def __init__(self, seat: Seat, clock: Clock, most: int, note: Note) -> None:
+        self.seat, self.clock, self.most, self.note = seat, clock, most, note
+        self.loop = asyncio.get_event_loop()
+        self.operations: Mapping[bytes, Operation] = {name.encode(): o for name, o in seat.operations.items()}
+        self.clients: set[Client] = set()
+        self.idle: OrderedDict[Client, None] = OrderedDict()    # with no request open; the one idle for longest first
+        self.calls: dict[bytes, Call] = {}
+        self.draining = False
+        self.refused = self.evicted = 0
+        self._listener: socket.socket | None = None
+
+    def listen(self, address: str) -> str:
+        """Raises OSError."""
+        host, port = split_address(address)
+        self._listener = sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET,
+                                              socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(1024)
+        self.loop.add_reader(sock.fileno(), self._accept)
+        self.loop.call_later(SWEEP / 1e6, self._sweep)
+        return "%s:%d" % sock.getsockname()[:2]
+
+    # ---- connections ----
+    def _accept(self, most: int = 32) -> None:
+        """A few at a time: a crowd at the door holds up nobody who is inside."""
+        for _ in range(most):
+            if self._listener is None:
+                return
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE) or not self._evict(0):
+                    return
+                continue
+            sock.setblocking(False)
+            if len(self.clients) >= self.most and not self._evict(SPARE):
+                sock.close()
+                continue
+            client = Client(self, sock)
+            self.clients.add(client)
+            self.idle[client] = None
+
+    def _evict(self, spare: int) -> bool:
+        """Makes room: first who said nothing or nothing right, the longest so; then who was served long ago."""
+        now, found = self.clock.now(), None
+        for client in self.idle:
+            if client.over or not client.served:
+                found = client
+                break
+            if found is None and now - client.since >= spare:
+                found = client
+        if found is None:
+            return False
+        self.evicted += 1
+        found.close()
+        return True
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        for client in list(self.idle):
+            age = now - client.since
+            if client.over:
+                if age > LINGER:
+                    client.close()
+            elif age > SILENT and (not client.served or client.reader.begun):
+                if client.reader.begun:
+                    client.refuse(408, "no whole request in time")
+                else:
+                    client.close()
+        self.loop.call_later(SWEEP / 1e6, self._sweep)
+
+    # ---- requests ----
+    def take(self, client: Client, request: Request) -> None:
+        """Raises Malformed."""
+        path = request.target.partition(b"?")[0]
+        if path == names.READY:
+            client.say(200 if not self.draining else 404, b"")
+            return
+        operation = self.operations.get(request.header(names.CLASS))
+        if operation is None:
+            raise Malformed(404, "no such operation")
+        if path.split(b"/", 2)[1:2] != [operation.name.encode()]:
+            raise Malformed(400, "the path is not of the operation")
+        if request.method != (b"GET" if operation.effect == IDEMPOTENT else b"POST"):
+            raise Malformed(405, "not the operation's method")
+        if operation.effect == IDEMPOTENT and request.body:
+            raise Malformed(400, "a body where none is due")
+        ident, fingerprint = request.header(names.ID), request.header(names.FINGERPRINT)
+        if not _IDENT.fullmatch(ident):
+            raise Malformed(400, "no id")
+        if operation.effect == FINGERPRINTED and not _IDENT.fullmatch(fingerprint):
+            raise Malformed(400, "no key against repeats")
+        limit = names.limit_of(request.header(names.LIMIT))
+        if not limit:
+            raise Malformed(400, "no time limit, such as 480m")
+        if ident in self.calls:
+            raise Malformed(409, "a request with this id is open")
+        hint, further = request.header(names.HINT), names.further_of(request.header(names.FURTHER))
+        head = [(b"X-Request-ID", ident)]
+        if fingerprint:
+            head.append((b"Idempotency-Key", fingerprint))
+        call = client.call = self.calls[ident] = Call(client, ident, head, request)
+        key = request.header(names.KEY)
+        invocation = self.seat.take(
+            call, operation, self.clock.arrived(), limit, customer=request.header(names.CUSTOMER).decode("latin-1"),
+            key=key.decode("latin-1") if key else None, hint=int(hint) if hint.isdigit() and len(hint) < 12 else 0,
+            retry=request.header(names.RETRY) == b"1", write=further.get("update") in ("1", "true"))
+        if call.client is not None:
+            call.invocation = invocation
+
+    # ---- the end ----
+    def drain(self) -> None:
+        """Answers end their connections from now on. Connections keep coming for a while, and clients that stay idle
+        learn by the end of theirs that they are to go elsewhere."""
+        self.draining = True
+        self.loop.call_later(LATE_COMERS / 1e6, self._stop)
+
+    def _stop(self) -> None:
+        if self._listener is not None:
+            self._accept(1024)
+            self.loop.remove_reader(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
+            for client in list(self.idle):
+                if client.served and not client.over and not client.reader.begun:
+                    client.close()
+
+    @property
+    def busy(self) -> bool:
+        """Somebody is still to come, to be answered, or to read an answer."""
+        return self._listener is not None or any(
+            client.call is not None or client.socket.unsent or client.over or not client.served
+            for client in self.clients)
+
+    def close(self) -> None:
+        self._stop()
+        for client in list(self.clients):
+            client.close()
--- /dev/null
+++ b/cartweir/node/links.py
@@ -0,0 +1,342 @@
+"""The appliances' side: connections to each, one request at a time on each, and the attempts and probes on them.
+
+What an attempt has proved is told apart by what has left: until the last byte is with the kernel nothing can have run.
+"""
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .. import interface as ours
+from ..agent.seat import Seat
+from ..interface import Appliance, Dispatch
+from ..wire import http1
+from ..wire.http1 import Answer, Answers, Malformed
+from ..wire.tcp import Connecting, Socket
+from . import names
+from .front import Call
+
+Note = Callable[..., None]
+SWEEP = 100_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """Times in microseconds."""
+    connect_timeout: int
+    probe_timeout: int
+    idle_time: int              # ours end well before the other side would end them; 0: never
+    most: int                   # connections to all appliances
+
+
+class Links:
+    """All connections to appliances."""
+
+    def __init__(self, reach: Reach, now: Callable[[], int], note: Note) -> None:
+        self.reach, self.now, self.note = reach, now, note
+        self.loop = asyncio.get_event_loop()
+        self.seat: Seat | None = None           # set once the seat is there
+        self.pools: dict[Appliance, Pool] = {}
+        self.addresses: dict[str, str] = {}
+        self.idle: OrderedDict[Link, None] = OrderedDict()      # the one idle for longest first
+        self.count = 0                          # connections that are open or being made
+        self.loop.call_later(SWEEP / 1e6, self._sweep)
+
+    def listed(self, changed: list[Appliance]) -> None:
+        """Those that are gone lose their connections once they carry nothing."""
+        for appliance in changed:
+            if appliance.state == ours.GONE and (pool := self.pools.pop(appliance, None)) is not None:
+                pool.retire()
+
+    def pool(self, appliance: Appliance) -> Pool:
+        pool, address = self.pools.get(appliance), self.addresses.get(appliance.ident, "")
+        if pool is None or pool.address != address:
+            if pool is not None:
+                pool.retire()
+            pool = self.pools[appliance] = Pool(self, address)
+        return pool
+
+    def start(self, dispatch: Dispatch, call: Call) -> Attempt:
+        attempt = Attempt(self, dispatch, call)
+        self.pool(dispatch.appliance).send(attempt)
+        return attempt
+
+    def probe(self, appliance: Appliance) -> None:
+        self.pool(appliance).send(ProbeAttempt(self, appliance))
+
+    def room(self) -> bool:
+        """For one connection more; the one that has been idle for longest makes way."""
+        if self.count >= self.reach.most and self.idle:
+            next(iter(self.idle)).close()
+        return self.count < self.reach.most
+
+    def _sweep(self) -> None:
+        if self.reach.idle_time:
+            old = self.now() - self.reach.idle_time
+            while self.idle and (link := next(iter(self.idle))).used < old:
+                link.close()
+        self.loop.call_later(SWEEP / 1e6, self._sweep)
+
+
+class Pool:
+    """Connections to one address. What finds none waits here, no longer than one may take to be made, and the decisions
+    are asked once more before it goes."""
+
+    def __init__(self, links: Links, address: str) -> None:
+        self.links, self.address = links, address
+        self.idle: list[Link] = []              # the one used last goes out first
+        self.opening: set[Connecting] = set()
+        self.waiting: deque[_Sent] = deque()
+        self.heard = 0                          # when anything last came from there
+        self.retired = False
+
+    def free(self) -> Link | None:
+        """A connection that nothing has come on since its last answer."""
+        while self.idle:
+            link = self.idle.pop()
+            self.links.idle.pop(link, None)
+            if link.socket.quiet() and self.links.now() - link.used < (self.links.reach.idle_time or 1 << 60):
+                return link
+            link.close()
+        return None
+
+    def send(self, sent: _Sent) -> None:
+        link = self.free() if not self.waiting else None
+        if link is not None:
+            sent.go(link)
+            return
+        sent.wait(self)
+        self.waiting.append(sent)
+        self.open_more()
+
+    def open_more(self) -> None:
+        while len(self.waiting) > len(self.opening) and self.links.room():
+            self.links.count += 1
+            connecting = Connecting(self.links.loop, self.address, self.links.reach.connect_timeout,
+                                    lambda sock, why: self._connected(connecting, sock, why))
+            self.opening.add(connecting)
+
+    def _connected(self, connecting: Connecting, sock: socket.socket | None, why: str) -> None:
+        self.opening.discard(connecting)
+        if sock is not None:
+            self.released(Link(self, sock))
+            return
+        self.links.count -= 1
+        self.links.note("unconnected", level="debug", address=self.address, why=why)
+        while len(self.waiting) > len(self.opening):        # nobody else opens one for it
+            self.waiting.popleft().unsent()
+
+    def released(self, link: Link) -> None:
+        """A connection that can carry the next one."""
+        while self.waiting:
+            sent = self.waiting.popleft()
+            if sent.over:
+                continue
+            if not sent.still_goes():
+                sent.unsent(ours.MOOT)
+            elif not link.socket.closed and link.socket.quiet():
+                sent.go(link)
+                return
+            else:
+                self.waiting.appendleft(sent)
+                link.close()
+                self.open_more()
+                return
+        if self.retired:
+            link.close()
+        elif not link.socket.closed:
+            link.used = self.links.now()
+            self.idle.append(link)
+            self.links.idle[link] = None
+
+    def doubt(self) -> None:
+        """Guards against a machine that has vanished: its idle connections stay open and silent. A new one tells."""
+        for link in list(self.idle):
+            link.close()
+
+    def retire(self) -> None:
+        self.retired = True
+        self.doubt()
+
+
+class Link:
+    """One connection."""
+
+    __slots__ = ("pool", "socket", "reader", "sent", "used")
+
+    def __init__(self, pool: Pool, sock: socket.socket) -> None:
+        self.pool, self.reader = pool, Answers()
+        self.sent: _Sent | None = None
+        self.used = pool.links.now()
+        self.socket = Socket(pool.links.loop, sock, self)
+
+    def go(self, sent: _Sent, data: bytes) -> None:
+        self.sent = sent
+        self.reader.next()
+        try:
+            self.socket.write(data)
+        except OSError as error:                # told once whoever sends it has returned
+            self.pool.links.loop.call_soon(self._lost, error.strerror or str(error), ours.UNCONNECTED)
+
+    def on_data(self, data: bytes) -> None:
+        self.pool.heard = self.pool.links.now()
+        sent = self.sent
+        if sent is None:                        # nobody asked: whatever follows here is not to be trusted
+            self.close()
+            return
+        try:
+            answer = self.reader.feed(data)
+        except Malformed as error:
+            self.pool.links.note("bad_answer", address=self.pool.address, why=error.reason[:200])
+            self._lost(error.reason, ours.ERROR)
+            return
+        if answer is None:
+            return
+        self.sent = None
+        if self.socket.unsent or not answer.stays or self.reader.surplus:
+            self.close()
+        else:
+            self.pool.released(self)
+        sent.answered(answer)
+
+    def on_lost(self, why: str) -> None:
+        self._lost(why, ours.UNCONNECTED if self.socket.unsent else ours.RESET)
+
+    def _lost(self, why: str, how: str) -> None:
+        sent, self.sent = self.sent, None
+        self.close()
+        if sent is not None:
+            sent.lost(how)
+
+    def close(self) -> None:
+        if not self.socket.closed:
+            self.socket.close()
+            self.reader.close()
+            self.pool.links.count -= 1
+            self.pool.links.idle.pop(self, None)
+            if self in self.pool.idle:
+                self.pool.idle.remove(self)
+
+
+class _Sent:
+    """One request on its way to an appliance, from its wait for a connection to its end."""
+
+    patience = 0
+
+    def __init__(self, links: Links) -> None:
+        self.links, self.began, self.over = links, links.now(), False
+        self.pool: Pool | None = None
+        self.link: Link | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def wait(self, pool: Pool) -> None:
+        self.pool = pool
+        wait = min(self.links.reach.connect_timeout, self.patience)
+        self._timer = self.links.loop.call_later(wait / 1e6, self._not_connected)
+
+    def _not_connected(self) -> None:
+        if not self.over and self.link is None:
+            if self in self.pool.waiting:
+                self.pool.waiting.remove(self)
+            self.unsent()
+
+    def still_goes(self) -> bool:
+        return True
+
+    def go(self, link: Link) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.pool, self.link = link.pool, link
+        left = max(1, self.began + self.patience - self.links.now())
+        self._timer = self.links.loop.call_later(left / 1e6, self._out_of_time)
+        self.left_at = self.links.now()
+        link.go(self, self.text(left))
+
+    def text(self, left: int) -> bytes:
+        raise NotImplementedError
+
+    def answered(self, answer: Answer) -> None:
+        raise NotImplementedError
+
+    def lost(self, how: str) -> None:
+        raise NotImplementedError
+
+    def unsent(self, how: str = ours.UNCONNECTED) -> None:
+        if not self.over:
+            self.lost(how)
+
+    def _out_of_time(self) -> None:
+        if not self.over:
+            self.drop(late=True)
+            self.lost(ours.TIMEOUT)
+
+    def drop(self, late: bool) -> None:
+        """Stop waiting: the connection goes with it, as its answer may still come."""
+        link, self.link = self.link, None
+        if link is not None:
+            link.sent = None
+            link.close()
+            if late and link.pool.heard <= self.left_at:
+                link.pool.doubt()
+
+    def done(self) -> None:
+        self.over, self.link = True, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+class Attempt(_Sent):
+    """One dispatch."""
+
+    def __init__(self, links: Links, dispatch: Dispatch, call: Call) -> None:
+        super().__init__(links)
+        self.dispatch, self.call = dispatch, call
+        self.patience = dispatch.patience or max(1, dispatch.invocation.expires - self.began)
+
+    def text(self, left: int) -> bytes:
+        method, target, head = self.call.head
+        return http1.request(method, target, ((b"Host", b"backend.local"), *head, (b"X-Timeout", b"%du" % left)),
+                             self.call.body)
+
+    def still_goes(self) -> bool:
+        return self.links.seat.leaves(self.dispatch)
+
+    def answered(self, answer: Answer) -> None:
+        if not self.over:
+            self.done()
+            how = names.outcome_of(answer)
+            self.links.seat.ended(self.dispatch, how, None, ((), [answer.body], ()) if how == ours.SUCCEEDED else None)
+
+    def lost(self, how: str) -> None:
+        if not self.over:
+            self.done()
+            self.links.seat.ended(self.dispatch, how)
+
+    def abandon(self, late: bool) -> None:
+        if not self.over:
+            self.drop(late)
+            self.done()
+
+
+class ProbeAttempt(_Sent):
+    def __init__(self, links: Links, appliance: Appliance) -> None:
+        super().__init__(links)
+        self.appliance, self.patience = appliance, links.reach.probe_timeout
+
+    def text(self, left: int) -> bytes:
+        return http1.request(b"GET", names.HEALTHY, ((b"Host", b"backend.local"),))
+
+    def answered(self, answer: Answer) -> None:
+        self._tell(answer.status == 200)
+
+    def lost(self, how: str) -> None:
+        self._tell(False)
+
+    def _tell(self, healthy: bool) -> None:
+        if not self.over:
+            self.done()
+            self.links.seat.probed(self.appliance, healthy, self.links.now() - self.began, None)
--- /dev/null
+++ b/cartweir/node/peers.py
@@ -0,0 +1,56 @@
+"""Datagrams between agents: figures as text with blanks, as on the simulator's wire. They may be lost, and nobody asks."""
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from ..agent.seat import Seat
+from ..wire.tcp import split_address
+
+MOST = 256                  # bytes of a datagram
+Note = Callable[..., None]
+
+
+class Peers:
+    """peers: addresses in the order of the agents' numbers."""
+
+    def __init__(self, seat: Seat, listen: str, peers: list[str], everyone: str | None, note: Note) -> None:
+        """Raises OSError."""
+        self.seat, self.note = seat, note
+        self._peers = [split_address(peer) for peer in peers]
+        self._numbers = {peer: number for number, peer in enumerate(self._peers)}
+        self._everyone = split_address(everyone) if everyone else None
+        self._socket = socket.socket(socket.AF_INET6 if ":" in split_address(listen)[0] else socket.AF_INET,
+                                     socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self._socket.bind(split_address(listen))
+        asyncio.get_event_loop().add_reader(self._socket.fileno(), self._readable)
+
+    def message(self, to: int | None, figures: list[int]) -> None:
+        text = " ".join(map(str, figures)).encode()
+        if to is None:
+            targets = [self._everyone] if self._everyone else self._peers
+        else:
+            targets = self._peers[to:to + 1]
+        if len(text) > MOST:
+            self.note("message_too_long", level="warning", bytes=len(text))
+            return
+        for target in targets:
+            try:
+                self._socket.sendto(text, target)
+            except OSError as error:
+                self.note("message_lost", level="debug", why=error.strerror)
+
+    def _readable(self) -> None:
+        for _ in range(16):
+            try:
+                text, sender = self._socket.recvfrom(MOST + 1)
+            except OSError:                 # nothing more, or the echo of a datagram that nobody took
+                return
+            number = self._numbers.get(sender[:2])
+            if number is not None and number != self.seat.known["me"]:
+                self.seat.told(number, [int(field) for field in text.split() if field.isdigit()])
+
+    def close(self) -> None:
+        asyncio.get_event_loop().remove_reader(self._socket.fileno())
+        self._socket.close()
--- a/cartweir/standin/conveyor.py
+++ b/cartweir/standin/conveyor.py
@@ -12,7 +12,8 @@
 from ..proto import agent_pb2 as pb
 from ..settings.schema import ReleaseSection
 from ..wire.calls import Request, Service
-from ..wire.link import Tap, spawn
+from ..wire.link import Tap
+from ..wire.tcp import spawn
 from .appliance import Appliance, Fleet
 
 OK, MOOT, FULL, ERROR = range(4)
--- a/cartweir/standin/steer.py
+++ b/cartweir/standin/steer.py
@@ -9,7 +9,7 @@
 from ..settings.units import parse_time
 from ..wire.calls import CallError, Channel, Request, Service
 from ..wire.grpc import Status
-from ..wire.link import spawn
+from ..wire.tcp import spawn
 from .appliance import Fleet, Make, Quality
 from .conveyor import Conveyor
 from .registry import PUT, Registry
--- a/cartweir/wire/calls.py
+++ b/cartweir/wire/calls.py
@@ -12,8 +12,9 @@
 
 from . import grpc
 from .grpc import BodyWalk, Headers, Malformed, Status
-from .link import Link, Tap, connect, spawn, split_address
+from .link import Link, Tap
 from .session import LOST, REFUSED, UNSEEN, Limits, Stream
+from .tcp import connect, spawn, split_address
 
 Metadata = Iterable[tuple[bytes, bytes]]
 
--- a/cartweir/wire/link.py
+++ b/cartweir/wire/link.py
@@ -2,9 +2,7 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
-from collections.abc import Coroutine
 from typing import Protocol
 
 from tornado.ioloop import IOLoop
@@ -12,24 +10,11 @@
 
 from .grpc import Headers
 from .session import Limits, Listener, Session, Stream
+from .tcp import CHUNK
 
-CHUNK = 64 * 1024           # read at a time
 MOST_UNSENT = 256 * 1024    # bytes handed to the socket that it has not taken; more stays in the streams' queues
 
 
-class LinkStream(IOStream):
-    """Reads when it is told that there is something. Tornado's own first tries, and a link that has just dealt with all
-    there was would find its socket empty each time: one system call in two."""
-
-    def _try_inline_read(self) -> None:
-        found = self._find_read_pos()
-        if found is not None:
-            self._read_from_buffer(found)
-            return
-        self._check_closed()
-        self._add_io_state(IOLoop.READ)
-
-
 class Tap(Protocol):
     """Sees each byte that a link reads or writes, in order."""
 
@@ -156,37 +141,3 @@
     except OSError:
         return "?"
     return f"{host}:{port}"
-
-
-async def connect(host: str, port: int, timeout: int) -> IOStream:
-    """A connected stream within so many microseconds. Raises OSError or StreamClosedError's cause as OSError."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = LinkStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * CHUNK)
-    try:
-        await asyncio.wait_for(stream.connect((host, port)), timeout / 1e6)
-    except StreamClosedError as error:
-        raise error.real_error if isinstance(error.real_error, OSError) else OSError(
-            errno.ECONNABORTED, "connection closed") from None
-    except (asyncio.TimeoutError, TimeoutError):
-        stream.close()
-        raise OSError(errno.ETIMEDOUT, f"no connection within {timeout / 1000:.0f} ms") from None
-    return stream
-
-
-def split_address(text: str) -> tuple[str, int]:
-    """host:port, or [host]:port. Raises ValueError with what would be right."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{text!r}: host:port is due, such as 127.0.0.1:7100")
-    return host.strip("[]"), int(port)
-
-
-_running: set[asyncio.Task] = set()
-
-
-def spawn(work: Coroutine) -> asyncio.Task:
-    """A task that is kept until it has ended: the loop itself holds tasks but weakly."""
-    task = asyncio.ensure_future(work)
-    _running.add(task)
-    task.add_done_callback(_running.discard)
-    return task
