Keys whose answer may have been given unread, or is still out, go to no earlier build

Ruled out: stalls (none in the logs), news told late (stages are told long before). Fault: Agent.observe bound a key on success alone, and links.py told a spoilt answer as an error, which proves that nothing good was given. Change: reset, time-out and cancelled bind too; a key out at the build on trial goes to no earlier one meanwhile (keys_out); spoilt answers are resets. Also: the node's tests, a bound on the number of headers that counted names only.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -329,8 +329,12 @@
             health.linked = now * (how != UNCONNECTED)
         if how == SUCCEEDED:
             self.hear(health, outcome.load, outcome.took, False)
-        key = dispatch.invocation.key if self.known["one_way"] and self.stage else None
-        if how == SUCCEEDED and key and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL):
+        key = dispatch.invocation.key if self.known["one_way"] else None
+        if key and (left := self.keys_out.pop((key, appliance.build), 1) - 1):
+            self.keys_out[key, appliance.build] = left
+        unread = how in (RESET, TIMEOUT, CANCELLED)     # guards against answers that were given but never read
+        if (how == SUCCEEDED or unread) and key and self.stage and (
+                appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL)):
             self.bound_keys[key] = appliance.build
         if health.silences > 3 and now >= health.shut_until:
             health.strikes = min(health.strikes + 1, 4)
@@ -426,7 +430,8 @@
         """Exposure and keys."""
         stage, cap = self.stage, self.cap_of(appliance)
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
-            over = self.known["one_way"] and inv.key and stage and stage.phase == RELEASED
+            over = self.known["one_way"] and inv.key and stage and (stage.phase == RELEASED or (
+                stage.phase == ON_TRIAL and (inv.key, stage.build) in self.keys_out))   # lest it is answered there
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
         number = stage.number if self.on_newest(appliance) else 0
         return self.exposures[inv.operation].room(self.host.now, cap) and (
@@ -639,6 +644,8 @@
         dispatch = Dispatch(place, max(patience, MS), until)
         if self.cap_of(place) is not None:
             dispatch.learned = exposure.add(self.host.now)
+        if self.known["one_way"] and inv.key:
+            self.keys_out[inv.key, place.build] = self.keys_out.get((inv.key, place.build), 0) + 1
         return dispatch
 
     def leaves(self, dispatch: Dispatch) -> bool:
--- a/cartweir/node/links.py
+++ b/cartweir/node/links.py
@@ -191,7 +191,7 @@
             answer = self.reader.feed(data)
         except Malformed as error:
             self.pool.links.note("bad_answer", address=self.pool.address, why=error.reason[:200])
-            self._lost(error.reason, ours.ERROR)
+            self._lost(error.reason, ours.RESET)        # it has run, and may have been answered well
             return
         if answer is None:
             return
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -134,6 +134,7 @@
     cast_at: int = 0                # when it was last cast
     subscribed: bool = False
     bound_keys: dict[str, int] = field(default_factory=dict)    # one-way keys -> newest build that answered
+    keys_out: dict[tuple, int] = field(default_factory=dict)    # one-way key and build -> own dispatches out
     held: list[Invocation] = field(default_factory=list)
     open: int = 0                   # own dispatches out
     limit: float = 0.0              # and their bound
--- a/cartweir/wire/http1.py
+++ b/cartweir/wire/http1.py
@@ -56,7 +56,7 @@
         self._parser = self.make(self)
         self._fault: Malformed | None = None
         self.begun = self._in_head = False      # a message has begun and is not whole yet
-        self._head_size = self._size = 0
+        self._head_size = self._size = self._count = 0
 
     def close(self) -> None:
         """Parser and reader know each other: parted, they leave nothing to the collector."""
@@ -65,7 +65,7 @@
 
     def on_message_begin(self) -> None:
         self.begun = self._in_head = True
-        self._size = 0
+        self._size = self._count = 0
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._target: list[bytes] = []
@@ -77,7 +77,8 @@
         name = name.lower()
         old = self._headers.get(name)
         self._headers[name] = value if old is None else old + b"," + value
-        if len(self._headers) > MOST_HEADERS:
+        self._count += 1
+        if self._count > MOST_HEADERS:
             self._stop(431, f"more than {MOST_HEADERS} headers")
 
     def on_headers_complete(self) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from cartweir.interface import ERROR, FULL, GOING_BACK, TIMEOUT, UNCONNECTED, Tally
+from cartweir.interface import CANCELLED, ERROR, FULL, GOING_BACK, RESET, TIMEOUT, UNCONNECTED, Tally
 from cartweir.logic import Exposure
 from helpers import DRAINING, MS, S, Scene
 
@@ -136,6 +136,39 @@
     assert {d.appliance.ident for d in scene.out} == {"new0"}
 
 
+@pytest.mark.parametrize("how,bound", [(RESET, True), (TIMEOUT, True), (CANCELLED, True), (ERROR, False), (FULL, False)])
+def test_an_answer_that_was_given_and_not_read_binds_its_key(how, bound):
+    """Guards against spoilt or lost answers: the newer build may have answered the key all the same."""
+    scene = Scene(one_way=True, free=2.0)
+    scene.list("new0", build=2)
+    scene.stage(2, 0, 1.0)
+    inv = scene.take(scene.issue, key="k")
+    scene.pass_to(50 * MS)
+    scene.end(scene.out[0], how)
+    scene.engine.expired(inv)
+    scene.list("old0")
+    scene.list("new0", build=2, state=DRAINING)
+    scene.out.clear()
+    scene.take(scene.draw, key="k")
+    scene.take(scene.draw, key="other")
+    assert [d.invocation.key for d in scene.out] == (["other"] if bound else ["k", "other"])
+
+
+def test_a_key_that_is_out_at_the_newer_build_goes_to_no_earlier_one():
+    """Guards against a machine that was cut off: it may have answered long before its silence is noticed."""
+    scene = Scene(one_way=True, free=2.0)
+    scene.list("new0", build=2)
+    scene.stage(2, 0, 1.0)
+    scene.take(scene.draw, key="k")
+    scene.list("old0")
+    scene.list("new0", build=2, state=DRAINING)
+    scene.take(scene.draw, key="k")
+    scene.take(scene.draw, key="other")
+    assert [d.invocation.key for d in scene.out] == ["k", "other"]
+    scene.end(scene.out[0], ERROR)              # now it is known that it was not answered there
+    assert [d.invocation.key for d in scene.out] == ["other", "k", "k"] and not scene.agent.bound_keys
+
+
 def test_guarded_stages_take_idempotent_ones_only():
     scene = Scene(guarded_stages=1, free=9.0)
     scene.list("old0")
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,309 @@
+"""The node on loopback sockets against a scripted platform: what passed on the sockets is what is judged."""
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from cartweir.node import config, front, names
+from ground import Appliance, ask, entry, good, ground
+from test_calls import sockets
+
+
+@sockets
+async def test_a_request_passes_unchanged_and_its_answer_comes_back():
+    async with ground(Appliance()) as it:
+        client = await it.client()
+        assert await client.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n") == (200, {"content-length": "0"}, b"")
+        for number in range(3):
+            status, _, body = await client.say(ask(f"a{number}", "order"))
+            assert (status, body) == (200, b"made for a%d" % number)
+        (line, headers, body), *_ = it.appliances[0].requests
+        assert line == "POST /order/x?y=1 HTTP/1.1" and body == b"body"
+        assert headers["x-request-id"] == "a0" and headers["idempotency-key"] == "key-of-a0"
+        assert 0 < names.limit_of(headers["x-timeout"].encode()) < 2_000_000
+        assert it.appliances[0].accepted == 1       # one connection after another request
+
+
+@pytest.mark.parametrize("data,status", [
+    (b"\x16\x03\x01noise", 400), (b"GET /view HTTP/1.1\r\n" + b"A: " + b"b" * 20000, 431),
+    (b"POST /order HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n" + b"x" * 100_000, 413),
+    (ask("a", "nothing"), 404), (ask("a", X_Timeout="soon"), 400), (ask("a", X_Timeout="-5m"), 400),
+    (ask("a", X_Timeout="0m"), 400), (ask("a", X_Request_ID=None), 400), (ask("a", "order", Idempotency_Key=None), 400),
+    (ask("a", X_Priority_Class="order"), 400), (ask("a").replace(b"GET", b"POST"), 405),
+    (ask("a") + ask("b"), 400)], ids=lambda value: str(value)[:40])
+@sockets
+async def test_what_is_no_request_gets_an_error_and_the_end(data, status):
+    async with ground(Appliance()) as it:
+        client = await it.client()
+        assert (await client.say(data))[0] == status
+        client.writer.write(b"x" * 1000)            # still sending: the answer was there to be read all the same
+        await client.ended()
+        while it.daemon.front.clients:
+            await asyncio.sleep(0.005)
+        assert not it.appliances[0].requests
+        assert (await (await it.client()).say(ask("c")))[0] == 200
+
+
+@sockets
+async def test_an_open_id_is_not_taken_twice_and_is_free_once_its_client_has_gone():
+    held = asyncio.Event()
+
+    async def slowly(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            slow.requests.append(1)
+            await held.wait()
+            writer.write(good(b"late"))
+
+    slow = Appliance()
+    slow.serve = slowly
+    async with ground(slow) as it:
+        first, second = await it.client(), await it.client()
+        first.writer.write(ask("same"))
+        while not slow.requests:
+            await asyncio.sleep(0.005)
+        assert (await second.say(ask("same")))[0] == 409
+        first.writer.close()
+        while it.daemon.front.calls:
+            await asyncio.sleep(0.005)
+        third = await it.client()
+        third.writer.write(ask("same"))
+        while len(slow.requests) < 2:
+            await asyncio.sleep(0.005)
+        held.set()
+        assert (await third.hear())[::2] == (200, b"late")
+
+
+@sockets
+async def test_a_second_request_before_the_answer_ends_both():
+    held = asyncio.Event()
+
+    async def slowly(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        slow.requests.append(1)
+        await held.wait()
+
+    slow = Appliance()
+    slow.serve = slowly
+    async with ground(slow) as it:
+        client = await it.client()
+        client.writer.write(ask("a"))
+        while not slow.requests:
+            await asyncio.sleep(0.005)
+        assert (await client.say(ask("b")))[0] == 400
+        assert not it.daemon.seat.calls and len(slow.requests) == 1
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"noise that is no head\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx",
+    b"HTTP/1.1 200 OK\r\n\r\nwithout a length", b"HTTP/1.1 200 OK\r\nA: " + b"b" * 20000, None,
+    b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"], ids=lambda value: str(value)[:30])
+@sockets
+async def test_a_spoilt_answer_may_have_run(spoilt):
+    """Idempotent and fingerprinted ones go again, a side-effecting one never does; its client learns that it failed."""
+    broken, left = [], [2]
+
+    def script(line, headers, body):
+        if left[0]:
+            left[0] -= 1
+            broken.append(headers["x-request-id"])
+            return spoilt
+        return good(b"fine")
+
+    async with ground(*(Appliance(script) for _ in range(3))) as it:
+        client = await it.client()
+        left[0] = 1
+        assert (await client.say(ask("v")))[::2] == (200, b"fine")
+        left[0] = 1
+        assert (await client.say(ask("o", "order")))[::2] == (200, b"fine")
+        left[0] = 1
+        assert (await client.say(ask("i", "issue")))[0] == 500
+        seen = [headers["x-request-id"] for appliance in it.appliances for _, headers, _ in appliance.requests]
+        assert broken == ["v", "o", "i"] and sorted(seen) == ["i", "o", "o", "v", "v"]
+
+
+@sockets
+async def test_what_follows_an_answer_is_never_anothers():
+    """A second copy behind an answer: the connection is not used again, and each client gets what was made for it."""
+    def script(line, headers, body):
+        return 2 * good(b"made for " + headers["x-request-id"].encode())
+
+    async with ground(Appliance(script)) as it:
+        client = await it.client()
+        for number in range(5):
+            assert (await client.say(ask(f"a{number}")))[::2] == (200, b"made for a%d" % number)
+        assert it.appliances[0].accepted == 5
+
+
+@sockets
+async def test_an_ended_connection_is_seen_before_it_is_used():
+    """The appliance ends an idle connection: a side-effecting request that follows goes out on a new one."""
+    async with ground(Appliance(lambda *request: good(b"fine"))) as it:
+        client = await it.client()
+        assert (await client.say(ask("a")))[0] == 200
+        for writer in it.appliances[0].writers:         # its end is with the node's kernel at once, the loop has not seen it
+            writer.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        assert (await client.say(ask("i", "issue")))[::2] == (200, b"fine")
+        assert it.appliances[0].accepted == 2
+
+
+@sockets
+async def test_no_connection_proves_that_nothing_ran():
+    async with ground(Appliance(), Appliance()) as it:
+        it.appliances[0].stop()
+        client = await it.client()
+        for number in range(8):
+            assert (await client.say(ask(f"i{number}", "issue")))[0] == 200
+        assert len(it.appliances[1].requests) == 8
+
+
+@sockets
+async def test_silent_connections_go_first_and_usual_clients_stay(monkeypatch):
+    monkeypatch.setattr(front, "SILENT", 200_000)
+    async with ground(Appliance(), sockets=64) as it:
+        usual = await it.client()
+        assert (await usual.say(ask("a")))[0] == 200
+        crowd = [await it.client() for _ in range(60)]
+        for number in range(3):
+            assert (await usual.say(ask(f"b{number}")))[0] == 200
+        assert await asyncio.gather(*(one.ended() for one in crowd)) == [b""] * 60
+        assert (await usual.say(ask("c")))[0] == 200 and len(it.daemon.front.clients) == 1
+
+
+@sockets
+async def test_half_a_request_is_told_why_it_ends(monkeypatch):
+    monkeypatch.setattr(front, "SILENT", 100_000)
+    async with ground(Appliance()) as it:
+        client = await it.client()
+        assert (await client.say(ask("a", "order")[:-2]))[0] == 408 and await client.ended() == b""
+
+
+@sockets
+async def test_a_drained_appliance_gets_nothing_more():
+    async with ground(Appliance(), Appliance()) as it:
+        client = await it.client()
+        await it.noted("list")
+        it.discovery.tell(entry("s0", it.appliances[0], status="draining"))
+        while it.daemon.seat.roster.appliances["s0"].state != "draining":
+            await asyncio.sleep(0.005)
+        before = len(it.appliances[0].requests)
+        for number in range(10):
+            assert (await client.say(ask(f"a{number}")))[0] == 200
+        assert len(it.appliances[0].requests) == before
+
+
+@sockets
+async def test_a_lost_watch_is_asked_for_again_from_where_it_was():
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        it.discovery.watches[0].close()
+        await it.noted("discovery_back")
+        assert it.discovery.asked[1].endswith("/api/targets?watch=1&from=1 HTTP/1.1")
+
+
+@sockets
+async def test_new_addresses_take_over_on_reload():
+    async with ground(Appliance()) as it, ground(Appliance()) as other:
+        await it.noted("list")
+        it.daemon.reread = lambda: other.daemon.config
+        it.daemon.reload()
+        while len(other.discovery.watches) < 2 or len(other.desk.listeners) < 2:
+            await asyncio.sleep(0.005)
+        other.desk.tell("news", build=2, stage=0, phase="testing", cap=0.2, age_ms=1)
+        while (await it.noted("stage"))["build"] != 2 and it.daemon.seat.engine.agent.stage.build != 2:
+            await asyncio.sleep(0.005)
+        assert (await (await it.client()).say(ask("a")))[0] == 200
+
+
+@pytest.mark.parametrize("said,answer", [
+    (lambda call: json.dumps({"jsonrpc": "2.0", "id": call["id"], "result": {
+        "build": 2, "stage": 0, "phase": "testing", "cap": 0.2, "age_ms": 3}}).encode() + b"\n", "ok"),
+    (lambda call: json.dumps({"jsonrpc": "2.0", "id": call["id"], "error": {
+        "code": -32602, "message": "throttled"}}).encode() + b"\n", "full"),
+    (lambda call: b"\xff\xfenoise\n", "timeout"), (lambda call: b'{"jsonrpc":"2.0","id":1,"res', "timeout"),
+    (lambda call: None, "timeout")], ids=["ok", "full", "noise", "part", "reset"])
+@sockets
+async def test_what_becomes_of_a_vote(said, answer):
+    async with ground(Appliance()) as it:
+        it.desk.vote = said
+        it.daemon.vote(2, 0, "on")
+        assert (await it.noted("vote"))["answer"] == answer
+        assert it.desk.votes == [{"build": 2, "stage": 0, "verdict": "approve"}]
+
+
+@sockets
+async def test_news_that_cannot_be_read_is_asked_for_anew():
+    async with ground(Appliance()) as it:
+        it.desk.news = [b"\x00\xffnoise\n"]
+        while not it.desk.listeners:
+            await asyncio.sleep(0.005)
+        it.desk.listeners[0].write(b'{"jsonrpc":"2.0","method":"news","params":{"bui\n')
+        it.desk.news = []
+        await it.noted("desk_back")
+        it.desk.tell("news", build=2, stage=0, phase="testing", cap=0.2, age_ms=1)
+        while it.daemon.seat.engine.agent.stage.build != 2:
+            await asyncio.sleep(0.005)
+
+
+@sockets
+async def test_the_end_answers_what_was_taken_and_what_still_comes(monkeypatch):
+    monkeypatch.setattr(front, "LATE_COMERS", 100_000)
+    held = asyncio.Event()
+
+    async def slowly(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            slow.requests.append(1)
+            await held.wait()
+            writer.write(good(b"late"))
+
+    slow = Appliance()
+    slow.serve = slowly
+    async with ground(slow) as it:
+        first, idle = await it.client(), await it.client()
+        await idle.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        first.writer.write(ask("a"))
+        while not slow.requests:
+            await asyncio.sleep(0.005)
+        it.daemon.terminate()
+        late = await it.client()
+        late.writer.write(ask("b"))
+        while len(slow.requests) < 2:
+            await asyncio.sleep(0.005)
+        assert await idle.ended() == b""            # after the last have come
+        held.set()
+        for client in (first, late):
+            status, headers, body = await client.hear()
+            assert (status, headers["connection"], body) == (200, "close", b"late") and await client.ended() == b""
+            client.writer.close()
+        await it.daemon.ended.wait()
+
+
+GOOD = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
+        "pipeline": {"address": "127.0.0.1:2"}, "settings": {"classes": [{"name": "view"}]}}
+
+
+@pytest.mark.parametrize("change,reason", [
+    ({"listen": "here"}, "listen: 'here': host:port is due"), ({"seed": "no"}, "seed: 'no'; a hexadecimal number is due"),
+    ({"seed": None}, "seed: 'None'"), ({"settings": {}}, "settings.classes is empty"),
+    ({"settings": {"classes": [{}]}}, "settings are malformed"), ({"pipeline": {}}, "address is missing; host:port is due"),
+    ({"peers": ["x"]}, "peers[0]: 'x'")], ids=lambda value: str(value)[:30])
+def test_a_bad_configuration_says_where_and_what(tmp_path, change, reason):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({**GOOD, **change}))
+    with pytest.raises(config.ConfigError) as found:
+        config.read({"EDGE_CONFIG": str(file)})
+    assert str(found.value).startswith(f"{file}: ") and reason in str(found.value)
+    file.write_text(json.dumps(GOOD))
+    assert config.read({"EDGE_CONFIG": str(file)}).seed == 255
+
+
+def test_the_program_needs_no_other_agents_libraries_and_ends_with_one_line():
+    code = ("import sys, cartweir.node.daemon; "
+            "print({m.split('.')[0] for m in sys.modules} & {'h2', 'google', 'pydantic', 'structlog', 'typer', 'grpc'})")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "set()\n"
+    ended = subprocess.run([sys.executable, "-m", "cartweir.node"], capture_output=True, text=True, env={})
+    assert ended.returncode == 1 and ended.stderr.count("\n") == 1 and "EDGE_CONFIG" in ended.stderr
