--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -481,11 +481,11 @@
         tried, sides = [d.appliance for d in inv.dispatches], [self.earlier, self.trial]
         fair = self.stage and self.stage.phase == ON_TRIAL  # also after an own 'back': evidence grows
         part = sum(a.weight for a in self.trial if self.warmth(a) >= 1.0) / self.places
-        # a key that the trial answers binds all that follow, which must fit its part: of the latest, how many are
+        # a key that the trial answers binds all that follow, which must fit its part: how many of the latest are
         bound, least = inv.key in self.bound_keys, len(self.recent) + 1
         taken = sum(map(self.bound_keys.__contains__, self.recent)) / least
         if not tried and self.cold and self.credit >= 0:
-            fits = fair and (bound or taken < part + self.pace)
+            fits = fair and (bound or taken < part + self.pace / 2)
             sides.insert(0, [a for a in self.cold if fits or self.cap_of(a) is None])
         elif not tried and fair and (bound or self.chance.random() * (1 - taken) < part - taken):
             sides.reverse()
