Keys out for 0.6 of the SLO time are taken for answered, not for 150 ms

Fault: UNREAD = 150 ms in logic.py: where the SLO time is a second, nearly all that is out at the trial is in work for longer, and no second copy could go to the earlier build.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -29,7 +29,7 @@
 SLOW_BY = 1.4                               # beyond what cold memories of keys explain
 FEW = 4.0                                   # so many open ones an agent is free to reach
 LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
-UNREAD = 150 * MS                           # what is out for longer may have been answered unread
+UNREAD = 0.6                                # of the SLO time: out for longer may be answered unread
 FIT = 0.7                                   # of the cap: what one-way keys may bind
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
 ON_AFTER, VOTE_SPREAD = 3 * S, S // 2       # 'on' is due so long after the newest start, then spread out
@@ -437,7 +437,7 @@
         stage, cap = self.stage, self.cap_of(appliance)
         if cap is None:     # once released, any key may have been answered: a late earlier machine gets none
             over = self.known["one_way"] and inv.key and stage and (stage.phase == RELEASED or (
-                stage.phase == ON_TRIAL and self.host.now > UNREAD + min(
+                stage.phase == ON_TRIAL and self.host.now > UNREAD * inv.operation.slo_time + min(
                     self.keys_out.get((inv.key, stage.build), ()), default=self.host.now)))
             return appliance.build >= (stage.build if over else self.bound_keys.get(inv.key, 0))
         number = stage.number if self.on_newest(appliance) else 0
