--- a/cartweir/node/desk.py
+++ b/cartweir/node/desk.py
@@ -70,6 +70,8 @@
             told, stream = False, None
             try:
                 stream = await connect(*split_address(self.address), CONNECT)
+                if asyncio.current_task().cancelling():     # swallowed on the way: another listens by now
+                    return
                 stream.write(b'{"jsonrpc":"2.0","id":1,"method":"listen"}\n')
                 while True:
                     line = await _line(stream, QUIET)
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -115,6 +115,9 @@
 
     async def _asked(self, target: bytes) -> tuple[IOStream, Pieces]:
         stream = await connect(*split_address(self.address), CONNECT)
+        if asyncio.current_task().cancelling():     # swallowed on the way: another watch stands by now
+            stream.close()
+            raise Lost("no longer wanted")
         stream.write(http1.request(b"GET", target, ((b"Host", self.address.encode()),)))
         return stream, Pieces()
 
--- a/cartweir/wire/tcp.py
+++ b/cartweir/wire/tcp.py
@@ -32,12 +32,11 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     stream = LinkStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * CHUNK)
     try:
-        async with asyncio.timeout(timeout / 1e6):
-            await stream.connect((host, port))
+        await asyncio.wait_for(stream.connect((host, port)), timeout / 1e6)
     except StreamClosedError as error:
         raise error.real_error if isinstance(error.real_error, OSError) else OSError(
             errno.ECONNABORTED, "connection closed") from None
-    except TimeoutError:
+    except (asyncio.TimeoutError, TimeoutError):
         stream.close()
         raise OSError(errno.ETIMEDOUT, f"no connection within {timeout / 1000:.0f} ms") from None
     return stream
