An agent whose registry is away ends when it is told to

Fault: asyncio.wait_for swallows a cancel that meets its own end, and the loops of RegistryNews and ConveyorNews then went on for good.

--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -116,6 +116,8 @@
             if not self.push:
                 self.seat.listed("failed")
                 return
+            if asyncio.current_task().cancelling():     # wait_for may swallow the word to end, and the process stayed
+                return
             await asyncio.sleep(self.waits.again())
 
     def fetch(self) -> None:
@@ -190,6 +192,8 @@
             if told or not self._lost:
                 self._lost = True
                 self.note("conveyor_lost", level="warning", why=why)
+            if asyncio.current_task().cancelling():     # wait_for may swallow the word to end, and the process stayed
+                return
             await asyncio.sleep(self.waits.again())
 
     def _word_came(self, word: pb.Word) -> None:
