A change of stage is noted in one place, the Seat

Need: desk.py repeated what news.py did (the word held, the note). Change: Seat.staged notes it for all who listen; attributes that nobody read are gone, the node's last line tells refused and evicted connections.

--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -169,7 +169,6 @@
         self.seat, self.channel, self.hello, self.waits, self.note, self.now = seat, channel, hello, waits, note, now
         self.vote_timeout = vote_timeout
         self._lost = False
-        self._word: Any = None
 
     def start(self) -> None:
         spawn(self._listening())
@@ -215,9 +214,6 @@
                       cap=told.cap, due=f"stage 0 to {stages - 1} of [release], a phase from 0 to 3, a cap from 0 to 1")
             return
         stage = Stage(told.build, told.number, PHASES[told.phase], told.cap, told.age, answer)
-        if self._word != (stage.word, stage.cap):
-            self._word = (stage.word, stage.cap)
-            self.note("stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap)
         self.seat.staged(stage)
 
     def vote(self, build: int, stage: int, verdict: str) -> None:
--- a/cartweir/agent/seat.py
+++ b/cartweir/agent/seat.py
@@ -58,6 +58,7 @@
         self.attempts: dict[Dispatch, Attempt] = {}         # dispatches that are out
         self.lag = 0                # by how long what is told now was held up before it came here
         self._count = 0
+        self._word: tuple | None = None                     # of the newest build, as last noted
         self.engine = Engine(world.now(), seed, known, self)
 
     # ---- out: the Door ----
@@ -194,6 +195,9 @@
         return changed
 
     def staged(self, stage: Stage) -> None:
+        if stage.answer in (None, "ok") and self._word != (stage.word, stage.cap):
+            self._word = (stage.word, stage.cap)
+            self.world.note("stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap)
         self.enter()
         self.engine.agent.on_stage(stage)
         self.engine.settle()
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -136,7 +136,7 @@
         if self.front.busy or self.seat.calls:
             self.loop.call_later(END_CHECK / 1e6, self._check_end)
         else:
-            self.note("stopped")
+            self.note("stopped", refused=self.front.refused, evicted=self.front.evicted)
             self.ended.set()
 
 
--- a/cartweir/node/desk.py
+++ b/cartweir/node/desk.py
@@ -46,7 +46,7 @@
         self.seat, self.address, self.vote_timeout, self.waits, self.note = seat, address, vote_timeout, waits, note
         self.stages = len(seat.known["caps"]) or 1
         self._listener: asyncio.Task | None = None
-        self._lost, self._word, self._calls = False, None, 0
+        self._lost, self._calls = False, 0
 
     def start(self, state: Mapping[str, Any]) -> None:
         """With the newest build's state as it stood at the start."""
@@ -107,11 +107,7 @@
 
     def _stage(self, told: Any, answer: str | None) -> None:
         """Raises ValueError."""
-        stage = names.stage_of(told, self.stages, answer)
-        if self._word != (stage.word, stage.cap):
-            self._word = (stage.word, stage.cap)
-            self.note("stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap)
-        self.seat.staged(stage)
+        self.seat.staged(names.stage_of(told, self.stages, answer))
 
     # ---- votes ----
     def vote(self, build: int, stage: int, verdict: str) -> None:
--- a/cartweir/wire/http1.py
+++ b/cartweir/wire/http1.py
@@ -121,7 +121,6 @@
     def __init__(self) -> None:
         super().__init__()
         self._whole: list[Request] = []
-        self._idle = True
 
     def feed(self, data: bytes) -> list[Request]:
         """The requests that have become whole. Raises Malformed, from then on each time."""
@@ -198,7 +197,7 @@
     @property
     def status(self) -> int:
         """0 while the head is not whole."""
-        return 0 if self._in_head or not self._parser.get_status_code() else self._parser.get_status_code()
+        return 0 if self._in_head else self._parser.get_status_code()
 
 
 def request(method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b"") -> bytes:
