Tests of the node's hard cases that none caused: vanished, silent, in part, the program itself

Need: on reading again no test made a machine vanish, a connection never come up, a request leave in part, a watch or listener fall silent, sent a datagram, or started the program itself. Change: a test of each; Held in ground.py stands for the appliance that three tests wrote out.

--- a/tests/ground.py
+++ b/tests/ground.py
@@ -84,6 +84,25 @@
             writer.write(said)
 
 
+class Held(Appliance):
+    """Answers nothing until it may; `requests` are the ids that have come, in their order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            _, headers, _ = await read_request(reader)
+            self.requests.append(headers["x-request-id"])
+            await self.go.wait()
+            writer.write(good(b"late"))
+
+    async def got(self, count: int) -> None:
+        while len(self.requests) < count:
+            await asyncio.sleep(0.005)
+
+
 class Discovery(Server):
     def __init__(self, endpoints: list[dict[str, Any]]) -> None:
         super().__init__(self._serve)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,14 +3,18 @@
 
 import asyncio
 import json
+import signal
 import socket
 import subprocess
 import sys
 
 import pytest
 
-from cartweir.node import config, front, names
-from ground import Appliance, ask, entry, good, ground
+from cartweir.node import config, desk, discovery, front, links, names
+from cartweir.node.peers import Peers
+from cartweir.wire import tcp
+from ground import Client as GroundClient
+from ground import SETTINGS, Appliance, Desk, Discovery, Held, ask, entry, good, ground
 from test_calls import sockets
 
 
@@ -51,51 +55,31 @@
 
 @sockets
 async def test_an_open_id_is_not_taken_twice_and_is_free_once_its_client_has_gone():
-    held = asyncio.Event()
-
-    async def slowly(reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            slow.requests.append(1)
-            await held.wait()
-            writer.write(good(b"late"))
-
-    slow = Appliance()
-    slow.serve = slowly
-    async with ground(slow) as it:
+    held = Held()
+    async with ground(held) as it:
         first, second = await it.client(), await it.client()
         first.writer.write(ask("same"))
-        while not slow.requests:
-            await asyncio.sleep(0.005)
+        await held.got(1)
         assert (await second.say(ask("same")))[0] == 409
         first.writer.close()
         while it.daemon.front.calls:
             await asyncio.sleep(0.005)
         third = await it.client()
         third.writer.write(ask("same"))
-        while len(slow.requests) < 2:
-            await asyncio.sleep(0.005)
-        held.set()
+        await held.got(2)
+        held.go.set()
         assert (await third.hear())[::2] == (200, b"late")
 
 
 @sockets
 async def test_a_second_request_before_the_answer_ends_both():
-    held = asyncio.Event()
-
-    async def slowly(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        slow.requests.append(1)
-        await held.wait()
-
-    slow = Appliance()
-    slow.serve = slowly
-    async with ground(slow) as it:
+    held = Held()
+    async with ground(held) as it:
         client = await it.client()
         client.writer.write(ask("a"))
-        while not slow.requests:
-            await asyncio.sleep(0.005)
+        await held.got(1)
         assert (await client.say(ask("b")))[0] == 400
-        assert not it.daemon.seat.calls and len(slow.requests) == 1
+        assert not it.daemon.seat.calls and len(held.requests) == 1
 
 
 @pytest.mark.parametrize("spoilt", [
@@ -161,6 +145,99 @@
         assert len(it.appliances[1].requests) == 8
 
 
+@sockets
+async def test_a_machine_that_vanished_is_asked_on_a_new_connection():
+    """Its idle connections stay open and silent: after one time-out none of them is used any more."""
+    held = Held()
+    async with ground(held) as it:
+        clients = [await it.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.writer.write(ask(f"a{number}"))
+        await held.got(2)
+        held.go.set()
+        for client in clients:
+            assert (await client.hear())[0] == 200
+        held.go.clear()                             # from now on it is silent
+        status, headers, _ = await clients[0].say(ask("b", X_Timeout="200m"))
+        assert status == 429 and 0 < float(headers["retry-after"]) <= 0.5
+        held.go.set()
+        assert (await clients[0].say(ask("c")))[0] == 200
+        assert held.accepted == 3 and sorted(held.requests) == ["a0", "a1", "b", "c"]
+
+
+@sockets
+async def test_a_connection_that_never_comes_up_proves_that_nothing_ran():
+    """A machine whose queue of connections is full says nothing at all; a side-effecting request goes elsewhere."""
+    full, crowd = socket.create_server(("127.0.0.1", 0), backlog=0), [socket.socket() for _ in range(4)]
+    for one in crowd:
+        one.setblocking(False)
+        one.connect_ex(full.getsockname())
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        it.discovery.tell({**entry("full", it.appliances[0]), "address": "127.0.0.1:%d" % full.getsockname()[1]})
+        while "full" not in it.daemon.seat.roster.appliances:
+            await asyncio.sleep(0.005)
+        client, number = await it.client(), 0
+        while not any(event == "unconnected" for event, _ in it.notes):
+            assert (await client.say(ask(f"i{number}", "issue")))[0] == 200
+            number += 1
+        assert [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests] == [f"i{n}" for n in range(number)]
+    for one in (full, *crowd):
+        one.close()
+
+
+@sockets
+async def test_what_left_in_part_cannot_have_run(monkeypatch):
+    """The kernel has taken a part of a side-effecting request when its connection breaks: it goes again."""
+    narrow = []
+
+    class Narrow(tcp.Socket):
+        def __init__(self, loop, sock, owner):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            super().__init__(loop, sock, owner)
+            narrow.append(self)
+
+    monkeypatch.setattr(links, "Socket", Narrow)
+    stuck = socket.socket()                         # takes connections, reads nothing
+    stuck.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    stuck.bind(("127.0.0.1", 0))
+    stuck.listen(8)
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        it.discovery.tell({**entry("stuck", it.appliances[0]), "address": "127.0.0.1:%d" % stuck.getsockname()[1]})
+        while "stuck" not in it.daemon.seat.roster.appliances:
+            await asyncio.sleep(0.005)
+        client, broken = await it.client(), False
+        for number in range(60):
+            large = ask(f"i{number}", "issue", Content_Length="60000")[:-4] + bytes(60000)
+            answer = asyncio.ensure_future(client.say(large))
+            while not broken and not answer.done():
+                at_stuck = [one for one in narrow if one.unsent and not one.closed
+                            and one.socket.getpeername() == stuck.getsockname()]
+                if at_stuck:
+                    await asyncio.sleep(0.02)       # all that its kernel takes is there, and the rest is not
+                    assert at_stuck[0].unsent
+                    broken = True
+                    stuck.close()
+                await asyncio.sleep(0.001)
+            assert (await answer)[::2] == (200, b"made for i%d" % number)
+            if broken:
+                break
+        assert broken
+
+
+@sockets
+async def test_a_watch_and_a_listener_that_fall_silent_are_asked_anew(monkeypatch):
+    monkeypatch.setattr(discovery, "QUIET", 100_000)
+    monkeypatch.setattr(desk, "QUIET", 100_000)
+    async with ground(Appliance()) as it:
+        lost = await it.noted("discovery_lost")
+        assert lost["why"] == (await it.noted("desk_lost"))["why"] == "nothing for 100 ms"
+        while len(it.discovery.asked) < 2 or len(it.desk.listeners) < 2:
+            await asyncio.sleep(0.005)
+        assert it.discovery.asked[1].startswith("GET /api/targets?watch=1&from=1 ")
+
+
 @sockets
 async def test_silent_connections_go_first_and_usual_clients_stay(monkeypatch):
     monkeypatch.setattr(front, "SILENT", 200_000)
@@ -252,29 +329,18 @@
 @sockets
 async def test_the_end_answers_what_was_taken_and_what_still_comes(monkeypatch):
     monkeypatch.setattr(front, "LATE_COMERS", 100_000)
-    held = asyncio.Event()
-
-    async def slowly(reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            slow.requests.append(1)
-            await held.wait()
-            writer.write(good(b"late"))
-
-    slow = Appliance()
-    slow.serve = slowly
-    async with ground(slow) as it:
+    held = Held()
+    async with ground(held) as it:
         first, idle = await it.client(), await it.client()
         await idle.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
         first.writer.write(ask("a"))
-        while not slow.requests:
-            await asyncio.sleep(0.005)
+        await held.got(1)
         it.daemon.terminate()
         late = await it.client()
         late.writer.write(ask("b"))
-        while len(slow.requests) < 2:
-            await asyncio.sleep(0.005)
+        await held.got(2)
         assert await idle.ended() == b""            # after the last have come
-        held.set()
+        held.go.set()
         for client in (first, late):
             status, headers, body = await client.hear()
             assert (status, headers["connection"], body) == (200, "close", b"late") and await client.ended() == b""
@@ -282,6 +348,96 @@
         await it.daemon.ended.wait()
 
 
+class Heard:
+    """The part of a Seat that datagrams reach."""
+
+    def __init__(self, me):
+        self.known, self.said = {"me": me}, []
+
+    def told(self, sender, figures):
+        self.said.append((sender, figures))
+
+
+@sockets
+async def test_datagrams_are_numbered_by_their_sender_and_bounded():
+    free = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    for one in free:
+        one.bind(("127.0.0.1", 0))
+    addresses = ["127.0.0.1:%d" % one.getsockname()[1] for one in free]
+    for one in free:
+        one.close()
+    notes = []
+    seats = [Heard(me) for me in range(3)]
+    peers = [Peers(seat, address, addresses, None, lambda event, **facts: notes.append(event))
+             for seat, address in zip(seats, addresses)]
+    peers[0].message(1, [5, 0, 7])
+    peers[1].message(None, [0, 2])
+    peers[2].message(0, list(range(200)))           # over 256 bytes: it would void the run
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        stranger.sendto(b"9 9 9", ("127.0.0.1", int(addresses[0].split(":")[1])))
+    peers[2].message(0, [3])
+    while not (seats[0].said[-1:] == [(2, [3])] and seats[1].said and seats[2].said):
+        await asyncio.sleep(0.005)
+    assert [seat.said for seat in seats] == [[(1, [0, 2]), (2, [3])], [(0, [5, 0, 7])], [(1, [0, 2])]]
+    assert notes == ["message_too_long"]
+    for one in peers:
+        one.close()
+
+
+@sockets
+async def test_the_program_itself_from_start_to_end(tmp_path):
+    """As deploy/balancer.toml starts it: ready, serving, new addresses and a bad file at SIGHUP, SIGTERM under load."""
+    held = await Held().start()
+    lists, offices = [await Discovery([entry("s0", held)]).start() for _ in range(2)], [await Desk().start() for _ in range(2)]
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = "127.0.0.1:%d" % free.getsockname()[1]
+    file = tmp_path / "config.json"
+
+    def write(number):
+        file.write_text(json.dumps({
+            "name": "n0", "listen": listen, "discovery": lists[number].address, "seed": "ff", "limits": {"sockets": 256},
+            "pipeline": {"address": offices[number].address, "news": {}}, "settings": SETTINGS,
+            "known": {"index": 1, "snapshot": True, "endpoints": [entry("s0", held)]}}))
+
+    write(0)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cartweir.node", cwd=config.__file__.rpartition("/cartweir/")[0],
+        env={"EDGE_CONFIG": str(file)}, stderr=asyncio.subprocess.PIPE)
+    lines = []
+
+    async def until(event):
+        while not (lines and lines[-1].split()[1] == event):
+            lines.append((await process.stderr.readline()).decode())
+            assert lines[-1], lines
+    try:
+        await until("started")
+        client = GroundClient(*await asyncio.open_connection(*listen.split(":")))
+        assert (await client.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"))[0] == 200
+        client.writer.write(ask("a"))
+        await held.got(1)
+        file.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        await until("config_bad")
+        write(1)
+        process.send_signal(signal.SIGHUP)
+        await until("reloaded")
+        while not lists[1].watches or not offices[1].listeners:
+            await asyncio.sleep(0.005)
+        process.send_signal(signal.SIGTERM)
+        await until("draining")
+        held.go.set()
+        status, headers, body = await client.hear()
+        assert (status, headers["connection"], body) == (200, "close", b"late")
+        client.writer.close()
+        await until("stopped")
+        assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+        for server in (held, *lists, *offices):
+            server.stop()
+
+
 GOOD = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
         "pipeline": {"address": "127.0.0.1:2"}, "settings": {"classes": [{"name": "view"}]}}
 
