Appliances that are gone are forgotten in the end, by both agents

Need: Roster and Links.addresses kept every ident that was ever listed; where idents are always new an agent grows for as long as it lives. node/links.py also wrote listed() and pool() a second time. Change: Roster keeps as many gone ones as stand and 64 more, those that went first go first; agent/pools.py holds which connections lead where for both agents, and drops the address with the appliance.

--- a/cartweir/agent/links.py
+++ b/cartweir/agent/links.py
@@ -19,6 +19,7 @@
 from ..wire.tcp import connect, spawn, split_address
 from . import names
 from .front import ClientCall
+from .pools import Pools
 from .seat import Seat
 
 PROBE = b"/grpc.health.v1.Health/Check"
@@ -40,31 +41,14 @@
     limits: Limits
 
 
-class Links:
+class Links(Pools["Pool"]):
     """All connections to appliances of one agent."""
 
     def __init__(self, reach: Reach, now: Callable[[], int], note: Note, tap: Tap | None = None) -> None:
+        super().__init__(lambda address: Pool(self, address))
         self.reach, self.now, self.note, self.tap = reach, now, note, tap
         self.loop = IOLoop.current()
         self.seat: Seat | None = None       # set once the seat is there
-        self.pools: dict[Appliance, Pool] = {}
-        self.addresses: dict[str, str] = {}
-
-    def listed(self, changed: list[Appliance]) -> None:
-        """Those that are gone lose their connections once they carry nothing."""
-        for appliance in changed:
-            if appliance.state == ours.GONE:
-                pool = self.pools.pop(appliance, None)
-                if pool is not None:
-                    pool.retire()
-
-    def pool(self, appliance: Appliance) -> Pool:
-        pool = self.pools.get(appliance)
-        if pool is None or pool.address != self.addresses.get(appliance.ident):
-            if pool is not None:
-                pool.retire()
-            pool = self.pools[appliance] = Pool(self, self.addresses.get(appliance.ident, ""))
-        return pool
 
     def start(self, dispatch: Dispatch, call: ClientCall) -> Attempt:
         attempt = Attempt(self, dispatch, call)
--- a/cartweir/node/links.py
+++ b/cartweir/node/links.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from .. import interface as ours
+from ..agent.pools import Pools
 from ..agent.seat import Seat
 from ..interface import Appliance, Dispatch
 from ..wire import http1
@@ -34,35 +35,20 @@
     most: int                   # connections to all appliances
 
 
-class Links:
+class Links(Pools["Pool"]):
     """All connections to appliances."""
 
     def __init__(self, reach: Reach, now: Callable[[], int], note: Note) -> None:
+        super().__init__(lambda address: Pool(self, address))
         self.reach, self.now, self.note = reach, now, note
         self.loop = asyncio.get_event_loop()
         self.seat: Seat | None = None           # set once the seat is there
-        self.pools: dict[Appliance, Pool] = {}
-        self.addresses: dict[str, str] = {}
         self.idle: OrderedDict[Link, None] = OrderedDict()      # the one idle for longest first
         self.count = 0                          # connections that are open or being made
         self.trust = Trust(reach.idle_time)
         self.loop.call_later(SWEEP / 1e6, self._sweep)
         self.loop.call_later(FADE / 1e6, self._fade)
 
-    def listed(self, changed: list[Appliance]) -> None:
-        """Those that are gone lose their connections once they carry nothing."""
-        for appliance in changed:
-            if appliance.state == ours.GONE and (pool := self.pools.pop(appliance, None)) is not None:
-                pool.retire()
-
-    def pool(self, appliance: Appliance) -> Pool:
-        pool, address = self.pools.get(appliance), self.addresses.get(appliance.ident, "")
-        if pool is None or pool.address != address:
-            if pool is not None:
-                pool.retire()
-            pool = self.pools[appliance] = Pool(self, address)
-        return pool
-
     def start(self, dispatch: Dispatch, call: Call) -> Attempt:
         attempt = Attempt(self, dispatch, call)
         self.pool(dispatch.appliance).send(attempt)
--- a/cartweir/roster.py
+++ b/cartweir/roster.py
@@ -25,10 +25,14 @@
     weight: float | None = None
 
 
+SPARE = 64      # gone appliances that are kept beside as many as stand: reports of them, and their return, may still come
+
+
 class Roster:
     def __init__(self) -> None:
         self.appliances: dict[str, Appliance] = {}
         self._runs: dict[str, Hashable] = {}
+        self._gone: dict[str, None] = {}            # in the order in which they went
 
     def apply(self, whole: bool, rows: Iterable[Row]) -> list[Appliance]:
         """The appliances that the news concerns, in its order; `whole`: what it does not name is gone."""
@@ -59,4 +63,16 @@
                 if ident not in named and appliance.state != GONE:
                     appliance.state = GONE
                     changed.append(appliance)
+        self._forget(changed, named)
         return changed
+
+    def _forget(self, changed: list[Appliance], named: set[str]) -> None:
+        """Guards against idents that are always new: those that went first are forgotten, once there are too many."""
+        for appliance in changed:
+            if self.appliances[appliance.ident] is appliance:
+                self._gone.pop(appliance.ident, None)
+                if appliance.state == GONE:
+                    self._gone[appliance.ident] = None
+        many = 2 * len(self._gone) - len(self.appliances) - SPARE
+        for ident in [ident for ident in self._gone if ident not in named][:max(0, many)]:
+            del self._gone[ident], self.appliances[ident], self._runs[ident]
