A crowd that asks waits outside: no connection with an unread request is closed

Checked: all places of clients were taken by open requests, so the only idle connections were those just taken in. Fault: Front._evict took any connection that had not been served, also one whose request lay unread in the kernel, and _accept closed the newcomer when nobody else could go. Change: nobody goes on whose socket something waits, nor a newcomer within 100 ms; with no place left the listener is not read until there is one.

--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -24,6 +24,7 @@
 MS = 1000
 SILENT = 2_000 * MS         # a connection without a whole request by then is closed: a usual client asks at once
 SPARE = 2_000 * MS          # one that has been served may go after so long without another
+YOUNG = 100 * MS            # one that has not spoken yet is given so long in any case
 LINGER = 500 * MS           # for the other side to read why, while it is still sending
 MOST_LINGER = 256 * 1024
 SWEEP = 100 * MS
@@ -141,6 +142,7 @@
             self.reader.close()
             self.front.idle.pop(self, None)
             self.front.clients.discard(self)
+            self.front._open_door(True)
             self.leave()
 
 
@@ -157,6 +159,7 @@
         self.draining = False
         self.refused = self.evicted = 0
         self._listener: socket.socket | None = None
+        self._door = True                       # whether connections are taken in at present
 
     def listen(self, address: str) -> str:
         """Raises OSError."""
@@ -172,39 +175,50 @@
 
     # ---- connections ----
     def _accept(self, most: int = 32) -> None:
-        """A few at a time: a crowd at the door holds up nobody who is inside."""
+        """A few at a time: a crowd at the door holds up nobody who is inside. When all places are taken by those who
+        ask for something, the others wait outside: to take them in and send them away would lose what they ask."""
         for _ in range(most):
             if self._listener is None:
                 return
+            if len(self.clients) >= self.most and not self._evict():
+                self._open_door(False)
+                return
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                if error.errno not in (errno.EMFILE, errno.ENFILE) or not self._evict(0):
-                    return
-                continue
+                if error.errno in (errno.EMFILE, errno.ENFILE) and not self._evict():
+                    self._open_door(False)
+                return
             sock.setblocking(False)
-            if len(self.clients) >= self.most and not self._evict(SPARE):
-                sock.close()
-                continue
             client = Client(self, sock)
             self.clients.add(client)
             self.idle[client] = None
 
-    def _evict(self, spare: int) -> bool:
-        """Makes room: first who said nothing or nothing right, the longest so; then who was served long ago."""
-        now, found = self.clock.now(), None
+    def _open_door(self, wide: bool) -> None:
+        if self._listener is not None and wide != self._door:
+            self._door = wide
+            if wide:
+                self.loop.add_reader(self._listener.fileno(), self._accept)
+            else:
+                self.loop.remove_reader(self._listener.fileno())
+
+    def _evict(self) -> bool:
+        """Makes room: first who said nothing or nothing right, the longest so; then who was served long ago. Never one
+        that has said something which the loop has not had the time to read."""
+        now, spare = self.clock.now(), None
         for client in self.idle:
-            if client.over or not client.served:
-                found = client
+            silent = client.over or (not client.served and now - client.since >= YOUNG)
+            if silent and (client.over or client.socket.quiet()):
+                spare = client
                 break
-            if found is None and now - client.since >= spare:
-                found = client
-        if found is None:
+            if spare is None and client.served and now - client.since >= SPARE and client.socket.quiet():
+                spare = client
+        if spare is None:
             return False
         self.evicted += 1
-        found.close()
+        spare.close()
         return True
 
     def _sweep(self) -> None:
@@ -219,6 +233,7 @@
                     client.refuse(408, "no whole request in time")
                 else:
                     client.close()
+        self._open_door(True)
         self.loop.call_later(SWEEP / 1e6, self._sweep)
 
     # ---- requests ----
@@ -270,7 +285,7 @@
     def _stop(self) -> None:
         if self._listener is not None:
             self._accept(1024)
-            self.loop.remove_reader(self._listener.fileno())
+            self._open_door(False)
             self._listener.close()
             self._listener = None
             for client in list(self.idle):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -251,6 +251,23 @@
         assert (await usual.say(ask("c")))[0] == 200 and len(it.daemon.front.clients) == 1
 
 
+@sockets
+async def test_a_crowd_that_asks_waits_outside_and_loses_nothing():
+    """More connections at once than there are places, each with a request that waits to be read."""
+    held = Held()
+    async with ground(held, sockets=64) as it:
+        crowd = [await it.client() for _ in range(60)]
+        for number, client in enumerate(crowd):
+            client.writer.write(ask(f"a{number}"))
+        await held.got(1)
+        held.go.set()
+        statuses = []
+        for client in crowd:                        # each goes once it has its answer, and another comes in
+            statuses.append((await client.hear())[0])
+            client.writer.close()
+        assert set(statuses) <= {200, 429} and len(statuses) == 60 and it.daemon.front.evicted == 0
+
+
 @sockets
 async def test_half_a_request_is_told_why_it_ends(monkeypatch):
     monkeypatch.setattr(front, "SILENT", 100_000)
