--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -630,13 +630,12 @@
                 if host.now < second_at or inv.streaming:
                     yield Wait(second_at if host.now < second_at else None)
                     continue
-                jam, tried = self.held or self.open >= 0.8 * self.limit, [d.appliance for d in inv.dispatches]
-                place = None if jam else min(self.pick(inv), key=self.busy, default=None)
-                if not place or place in tried:         # not now, perhaps a little later
+                if self.held or self.open >= 0.8 * self.limit:      # not now, perhaps a little later
                     second_at = host.now + operation.slo_time // 16 if host.now < useful else end
                     continue
-                second_at = end
-                if self.may_retry(inv, 3.0):
+                second_at, tried = end, [d.appliance for d in inv.dispatches]
+                place = min(self.pick(inv), key=self.busy, default=None)
+                if place and place not in tried and self.may_retry(inv, 3.0):
                     yield self.send(inv, place, end - host.now, end)
             # 3. again, if there is use in it: what has erred twice errs anywhere
             ended = [d.ended for d in inv.dispatches]
