Controllers' decisions without I/O: a replicated log, epochs at receivers, duties, steps

Need: whoever does work for the whole fleet is to be alone in it, and an old owner that wakes up late does no harm.

--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,155 @@
+"""The controllers' log under simulated clocks, disks and network: histories by seed, judged from what receivers saw; and that
+faults put in on purpose are found."""
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from cartweir.fleet.terms import FOLLOWER, LEADER, Kept, Member, Refused, Snapshot, Timing
+from cartweir.model.cluster import Shape, play
+
+# seeds within which each fault is found, from 0 on; a verdict that finds none of them proves nothing
+FOUND = {"no-fence": 1, "no-fsync": 1, "lease": 1, "vote-twice": 1, "forgets-epoch": 40, "eager": 150}
+
+
+@pytest.mark.parametrize("members, seeds", [(3, range(60)), (5, range(15)), (1, range(3))])
+def test_no_history_of_faults_breaks_what_receivers_may_see(members, seeds):
+    for seed in seeds:
+        history = play(seed, Shape(members=members))
+        assert not history.breaches, (seed, history.breaches)
+        assert len(history.log) > 50 and history.ok
+
+
+@pytest.mark.parametrize("broken", FOUND)
+def test_a_fault_put_in_on_purpose_is_found(broken):
+    assert any(play(seed, Shape(broken=broken)).breaches for seed in range(FOUND[broken])), broken
+
+
+def test_a_seed_replays_its_history_to_the_letter():
+    first, again = (play(7, Shape()) for _ in range(2))
+    assert first.log == again.log and first.seen == again.seen and first.counts == again.counts
+
+
+class Trio:
+    """Three members whose words arrive at once, with clocks that stand still unless told."""
+
+    def __init__(self, names="abc"):
+        self.now = 0
+        self.members = {name: [name, f"{name}:1", True] for name in names}
+        self.nodes = {name: self.make(name) for name in names}
+        self.cut: set[str] = set()
+
+    def make(self, name, kept=None, mark=None):
+        kept = kept or Kept(snapshot=Snapshot(0, 0, self.members, b""))
+        return Member(name, mark or name, kept, Timing(), random.Random(name), self.now)
+
+    def settle(self):
+        moved = True
+        while moved:
+            moved = False
+            for name, node in list(self.nodes.items()):
+                ready = node.take()
+                if ready.saves:
+                    node.saved()
+                for to, message in ready.sends:
+                    moved = True
+                    if to in self.nodes and not {name, to} & self.cut:
+                        self.nodes[to].heard(self.now, name, node.mark, message)
+                moved = moved or bool(ready.saves)
+
+    def run(self, time):
+        for _ in range(time // 10_000):
+            self.now += 10_000
+            for node in self.nodes.values():
+                node.tick(self.now)
+            self.settle()
+
+    @property
+    def leader(self):
+        (name,) = [n for n, node in self.nodes.items() if node.role == LEADER and n not in self.cut]
+        return name
+
+
+def test_a_member_that_was_cut_off_disturbs_nobody_when_it_is_back():
+    trio = Trio()
+    trio.run(2_000_000)
+    leader = trio.leader
+    away = next(name for name in "abc" if name != leader)
+    trio.cut = {away}
+    trio.run(5_000_000)
+    term = trio.nodes[leader].term
+    trio.cut = set()
+    trio.run(2_000_000)
+    assert trio.leader == leader and {node.term for node in trio.nodes.values()} == {term}
+
+
+def test_a_leader_without_a_majority_stops_before_another_begins():
+    trio = Trio()
+    trio.run(2_000_000)
+    old = trio.leader
+    trio.cut = {old}
+    led = []
+    for _ in range(300):
+        trio.run(10_000)
+        led.append(sum(node.role == LEADER for node in trio.nodes.values()))
+    assert max(led) == 1 and led[-1] == 1 and trio.nodes[old].role != LEADER
+
+
+def test_handing_over_leaves_nothing_undone():
+    trio = Trio()
+    trio.run(2_000_000)
+    old = trio.leader
+    to = next(name for name in "abc" if name != old)
+    index = trio.nodes[old].propose(b"x")
+    trio.nodes[old].hand_over(to)
+    assert trio.nodes[old].propose(b"y") is None
+    trio.run(200_000)
+    assert trio.leader == to and trio.nodes[to].commit > index and trio.nodes[old].role == FOLLOWER
+
+
+def test_a_lost_directory_does_not_vote_until_it_holds_the_log():
+    trio = Trio()
+    trio.run(2_000_000)
+    leader = trio.leader
+    lost = next(name for name in "abc" if name != leader)
+    other = next(name for name in "abc" if name not in (leader, lost))
+    trio.nodes[leader].propose(b"x")
+    trio.settle()
+    trio.nodes[lost] = trio.make(lost, Kept(), "new")
+    trio.cut = {other}
+    with pytest.raises(Refused, match="no majority"):
+        trio.run(600_000)
+        trio.nodes[leader].role == LEADER or trio.nodes[leader].admit(lost, "new", f"{lost}:1", False)
+        trio.nodes[leader].admit(lost, "new", f"{lost}:1", False)
+    trio.cut = set()
+    trio.run(2_000_000)
+    leader = trio.leader
+    assert leader != lost
+    with pytest.raises(Refused, match="listened"):
+        trio.nodes[leader].admit(lost, "new", f"{lost}:1", True)
+    trio.nodes[leader].admit(lost, "new", f"{lost}:1", False)
+    trio.run(300_000)
+    assert not trio.nodes[leader].members[lost][2]
+    trio.nodes[leader].admit(lost, "new", f"{lost}:1", True)
+    trio.run(300_000)
+    assert trio.nodes[lost].commit == trio.nodes[leader].commit and lost in trio.nodes[lost].voters
+    # what the lost directory promised counts for nobody any more
+    assert trio.nodes[leader].members[lost][0] == "new"
+
+
+def test_one_that_lags_behind_a_snapshot_gets_it():
+    trio = Trio()
+    trio.run(2_000_000)
+    leader = trio.leader
+    away = next(name for name in "abc" if name != leader)
+    trio.cut = {away}
+    for number in range(50):
+        trio.nodes[leader].propose(b"%d" % number)
+        trio.settle()
+    node = trio.nodes[leader]
+    node.decided()
+    node.compact(node.commit, b"all of it")
+    trio.cut = set()
+    trio.run(1_000_000)
+    assert trio.nodes[away].snapshot.state == b"all of it" and trio.nodes[away].commit == node.commit
