Release controllers: three or five processes that decide together, and a rig of faults

Need: the stand-in conveyor was one process; whoever replaced it could tell agents and machines an older stage. Change: cartweir controller (found, join, run, status, history, offer, hand-over, admit, dismiss, recover), its log on disk (checksummed frames, one fsync a turn, what was told and is gone is refused), agents that take several addresses, tell one ballot under one number until it is answered, and follow no decision older than one kept (stage_file). Stand-ins: receivers with a store of their own, and a troublemaker between sockets. cartweir faults draws kills, stops, cuts, delays and resets and judges by receivers' records beside the logs of a majority. Checked: 18 tests start the real processes (stopped owner, late call, lost answer, dead target, all killed, both kinds of partition, lost and copied directories, recover), one of them with receivers that take all, which is found.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -25,7 +25,7 @@
 from .ending import Ending
 from .front import Bounds, ClientCall, Front, Note
 from .links import Attempt, Links, Reach
-from .news import TELL, ConveyorNews, Peers, RegistryNews
+from .news import TELL, ConveyorNews, Peers, RegistryNews, Stamps
 from .seat import Seat
 from .waits import Waits
 
@@ -70,7 +70,8 @@
     registry = RegistryNews(
         seat, links, channel(document.registry.address), hello, document.registry.mode == "push",
         document.registry.call_timeout, waits(), now, note, agent.list_file)
-    return (registry, ConveyorNews(seat, channel(conveyor.address), hello, conveyor.vote_timeout, waits(), note, now),
+    return (registry, ConveyorNews(seat, [channel(address) for address in conveyor.address], hello, conveyor.vote_timeout,
+                                   conveyor.silence, waits(), note, now, Stamps(agent.stage_file, note), chance),
             Peers(seat, agent.me, {number: channel(address) for number, address in document.peers.items()
                                    if number != agent.me}, conveyor.vote_timeout, note))
 
--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -5,13 +5,15 @@
 import asyncio
 import json
 import os
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any
 
 from google.protobuf.message import DecodeError
 
 from .. import interface as ours
+from ..fleet.epochs import Fence, Stamp
 from ..interface import Stage, Tally
 from ..proto import agent_pb2 as pb
 from ..roster import Row
@@ -161,13 +163,49 @@
         self.links.listed(self.seat.listed(how, rows))
 
 
-class ConveyorNews:
-    """Stages, reports and tallies in; votes out."""
+class Stamps:
+    """Which decision of the controllers was followed last. Kept before it is followed, so that an agent that starts again
+    follows none older; a file that can't be read counts as none, and is said so."""
+
+    def __init__(self, path: str | None, note: Note) -> None:
+        self.path, self.note = Path(path) if path else None, note
+        self.fence = Fence(self._read())
+        self._kept = self.fence.seen
+
+    def _read(self) -> Stamp:
+        try:
+            if self.path is not None:
+                kept = json.loads(self.path.read_text(encoding="utf-8"))
+                return Stamp(int(kept["epoch"]), int(kept["index"]))
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            self.note("stage_file_bad", level="warning", file=str(self.path), reason=str(error)[:200])
+        return Stamp()
+
+    async def take(self, stamp: Stamp) -> bool:
+        """Whether it may be followed now. One that was overtaken while it was being kept may not."""
+        if not self.fence.take(stamp):
+            return False
+        if self.path is not None and stamp > self._kept:
+            text = json.dumps({"epoch": stamp.epoch, "index": stamp.index})
+            try:
+                await asyncio.get_running_loop().run_in_executor(None, write_whole, self.path, text)
+            except OSError as error:
+                self.note("stage_file_bad", level="warning", file=str(self.path), reason=error.strerror)
+            self._kept = max(self._kept, stamp)
+        return stamp == self.fence.seen
+
 
-    def __init__(self, seat: Seat, channel: Channel, hello: pb.Hello, vote_timeout: int, waits: Waits, note: Note,
-                 now: Callable[[], int]) -> None:
-        self.seat, self.channel, self.hello, self.waits, self.note, self.now = seat, channel, hello, waits, note, now
-        self.vote_timeout = vote_timeout
+class ConveyorNews:
+    """Stages, reports and tallies in; votes out. Any of the channels tells and counts for all: where one falls silent or
+    knows no leader, the next is asked."""
+
+    def __init__(self, seat: Seat, channels: Sequence[Channel], hello: pb.Hello, vote_timeout: int, silence: int,
+                 waits: Waits, note: Note, now: Callable[[], int], stamps: Stamps, chance: random.Random) -> None:
+        self.seat, self.channels, self.hello, self.waits, self.note, self.now = seat, channels, hello, waits, note, now
+        self.vote_timeout, self.silence, self.stamps, self.chance = vote_timeout, silence, stamps, chance
+        self._at = chance.randrange(len(channels))      # spreads agents over the controllers
         self._lost = False
 
     def start(self) -> None:
@@ -177,14 +215,14 @@
         while True:
             told = False
             try:
-                async for message in self.channel.stream("/cartweir.v1.Conveyor/News", self.hello.SerializeToString()):
+                async for message in self._words():
                     if not told:
                         told = True
                         self.waits.fine()
                         if self._lost:
                             self._lost = False
                             self.note("conveyor_back")
-                    self._word_came(pb.Word.FromString(message))
+                    await self._word_came(pb.Word.FromString(message))
                 why = "the news was ended"
             except (CallError, DecodeError) as error:
                 why = str(error)
@@ -193,12 +231,27 @@
                 self.note("conveyor_lost", level="warning", why=why)
             if asyncio.current_task().cancelling():     # wait_for may swallow the word to end, and the process stayed
                 return
+            self._at = (self._at + 1) % len(self.channels)
             await asyncio.sleep(self.waits.again())
 
-    def _word_came(self, word: pb.Word) -> None:
+    async def _words(self) -> AsyncIterator[bytes]:
+        """Of the channel whose turn it is. One of several is left where it has been silent for so long that it should
+        have told the stage again: guards against a controller that is stopped or cut off with its connections open."""
+        channel = self.channels[self._at]
+        source = channel.stream("/cartweir.v1.Conveyor/News", self.hello.SerializeToString())
+        while True:
+            try:
+                yield await asyncio.wait_for(anext(source), self.silence / 1e6 if len(self.channels) > 1 else None)
+            except StopAsyncIteration:
+                return
+            except (asyncio.TimeoutError, TimeoutError):
+                channel.close()
+                raise CallError(Status.DEADLINE_EXCEEDED, f"{channel.address} is silent") from None
+
+    async def _word_came(self, word: pb.Word) -> None:
         match word.WhichOneof("what"):
             case "stage":
-                self._stage(word.stage, None)
+                await self._stage(word.stage, None)
             case "flag":
                 self.seat.flagged(word.flag.operation, word.flag.appliance, word.flag.age)
             case "tally":
@@ -207,32 +260,47 @@
                     tally = word.tally
                     self.seat.tallied(Tally(tally.build, operation, tally.count, tally.failures, tally.mean_time, tally.age))
 
-    def _stage(self, told: pb.Stage, answer: str | None) -> None:
-        stages = len(self.seat.known["caps"])
+    async def _stage(self, told: pb.Stage, answer: str | None) -> None:
+        stages, came = len(self.seat.known["caps"]), self.now()
         if told.number >= stages or told.phase >= len(PHASES) or not 0 <= told.cap <= 1:
             self.note("stage_unknown", level="error", build=told.build, stage=told.number, phase=told.phase,
                       cap=told.cap, due=f"stage 0 to {stages - 1} of [release], a phase from 0 to 3, a cap from 0 to 1")
             return
-        stage = Stage(told.build, told.number, PHASES[told.phase], told.cap, told.age, answer)
-        self.seat.staged(stage)
+        stamp = Stamp(told.epoch, told.index)
+        if not await self.stamps.take(stamp):
+            self.note("stage_late", level="warning", build=told.build, stage=told.number, epoch=stamp.epoch, index=stamp.index,
+                      seen=tuple(self.stamps.fence.seen))
+            return
+        age = told.age + self.now() - came
+        self.seat.staged(Stage(told.build, told.number, PHASES[told.phase], told.cap, age, answer))
 
     def vote(self, build: int, stage: int, verdict: str) -> None:
         spawn(self._voting(build, stage, verdict))
 
     async def _voting(self, build: int, stage: int, verdict: str) -> None:
-        ballot = pb.Ballot(agent=self.hello.agent, build=build, stage=stage, choice=CHOICES[verdict])
-        try:
-            answer = await self.channel.unary("/cartweir.v1.Conveyor/Vote", ballot.SerializeToString(), self.vote_timeout)
-            told = pb.Verdict.FromString(answer.message)
-            how = ANSWERS[told.answer]
-        except CallError as error:
-            # where it is known that nobody heard it, it does not count; else it may
-            how, told = "timeout" if error.status == Status.DEADLINE_EXCEEDED else "error", None
-        except DecodeError:
-            how, told = "error", None
+        """One ballot under one number, told to one after another until it is answered: it counts once."""
+        ballot = pb.Ballot(agent=self.hello.agent, build=build, stage=stage, choice=CHOICES[verdict],
+                           serial=self.chance.getrandbits(62) + 1)
+        end, tries, told = self.now() + self.vote_timeout, 0, None
+        while True:
+            channel, left = self.channels[(self._at + tries) % len(self.channels)], end - self.now()
+            try:
+                answer = await channel.unary("/cartweir.v1.Conveyor/Vote", ballot.SerializeToString(), max(left, 1_000))
+                told = pb.Verdict.FromString(answer.message)
+                how = ANSWERS[told.answer]
+                break
+            except CallError as error:
+                # where it is known that nobody heard it, it does not count; else it may
+                how = "timeout" if error.status == Status.DEADLINE_EXCEEDED else "error"
+            except DecodeError:
+                how = "error"
+                break
+            tries += 1
+            if tries >= len(self.channels) or end - self.now() <= 0:
+                break
         self.note("vote", build=build, stage=stage, verdict=verdict, answer=how)
         if how == "ok":
-            self._stage(told.stage, "ok")
+            await self._stage(told.stage, "ok")
         else:
             self.seat.staged(Stage(build, stage, ours.ON_TRIAL, 0.0, 0, how))
 
--- /dev/null
+++ b/cartweir/cli/__init__.py
@@ -0,0 +1,194 @@
+"""The command line."""
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Annotated, Optional
+
+import typer
+
+from .. import __version__
+from ..settings.ini import BadInput, read_agent
+from .common import fail, open_tap
+from .controller import app as controller
+from .model import app as model
+from .standin import app as standin
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+                  help="cartweir routes gRPC calls to appliances and judges the builds they run.")
+settings = typer.Typer(no_args_is_help=True, help="Check and explain settings files.")
+app.add_typer(settings, name="settings")
+app.add_typer(controller, name="controller")
+app.add_typer(model, name="model")
+app.add_typer(standin, name="standin")
+
+SettingsFile = Annotated[Path, typer.Option("--settings", "-s", help="The agent's INI file.", metavar="FILE")]
+
+
+@app.command()
+def agent(file: SettingsFile,
+          tap: Annotated[Optional[Path], typer.Option(help="Write what passes on each socket into this file.")] = None,
+          ) -> None:
+    """Run one agent until SIGTERM, which lets it finish what it holds."""
+    from ..agent.clock import loop
+    from ..agent.daemon import run
+
+    try:
+        document = read_agent(file)
+    except BadInput as error:
+        fail(str(error))
+    try:
+        if document.agent.cores > 1:
+            from ..cores.supervisor import Supervisor
+
+            open_tap(tap)
+            raise typer.Exit(Supervisor(document, tap).run())
+        with asyncio.Runner(loop_factory=loop) as runner:
+            runner.run(run(document, open_tap(tap)))
+    except OSError as error:
+        fail(f"{file}: [agent] listen = {document.agent.listen}: {error.strerror or error}: "
+             f"an address that is free on this machine is due", 1)
+
+
+@settings.command()
+def check(file: Annotated[Path, typer.Argument(metavar="FILE")]) -> None:
+    """Report everything that is wrong with a settings file."""
+    try:
+        document = read_agent(file)
+    except BadInput as error:
+        fail(str(error))
+    print(f"{file}: fine: agent {document.agent.me} of {document.agent.agents}, "
+          f"{len(document.operations)} operations, {len(document.release.caps)} stages")
+
+
+@settings.command()
+def explain(key: Annotated[Optional[str], typer.Argument(help="A section, a key or section.key.")] = None) -> None:
+    """Say of each key what it means, its unit and its default."""
+    from ..settings.explain import explain as text
+
+    try:
+        print(text(key))
+    except BadInput as error:
+        fail(str(error))
+
+
+@settings.command("move")
+def move_command(old: Annotated[Path, typer.Argument(metavar="OLD", help="The agent's settings at the old deployment.")],
+                 shape: Annotated[Path, typer.Argument(metavar="SHAPE", help="What the new deployment's agents share: "
+                                                       "[allowed], [appliances], [release], operations.")],
+                 new: Annotated[Optional[Path], typer.Argument(metavar="[NEW]", help="The file to write.")] = None,
+                 dry_run: Annotated[bool, typer.Option("--dry-run", help="Write nothing, print the counterpart.")] = False,
+                 ) -> None:
+    """Write a settings file's counterpart for a deployment of another shape, and list what it could not carry over."""
+    from ..settings.move import move, write_new
+
+    if dry_run == (new is not None):
+        fail("settings move: either NEW, the file to write, or --dry-run is due")
+    try:
+        moved = move(old, shape)
+        if new is not None:
+            write_new(new, moved.text)
+    except BadInput as error:
+        fail(str(error))
+    print(moved.text if new is None else f"{new}: written", *(f"not carried over: {line}" for line in moved.lost),
+          "comments are not carried over", sep="\n")
+
+
+@app.command()
+def demo(seed: Annotated[int, typer.Option(help="All chance of the day comes from it.")] = 1,
+         seconds: Annotated[float, typer.Option(min=8, max=600, help="Length of the day.")] = 30.0,
+         cores: Annotated[int, typer.Option(min=1, max=16, help="Carrying parts of each agent.")] = 1,
+         as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False,
+         keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and taps in this folder.")] = None,
+         ) -> None:
+    """Play a scripted bad day on loopback: 9 appliances, 3 agents, clients, and what goes wrong."""
+    import tempfile
+
+    from ..standin.day import Day
+
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
+        folder = keep or Path(scratch)
+        if keep is not None and any(keep.glob("*.tap")):
+            fail(f"--keep {keep}: holds an earlier run: a new or empty folder is due")
+        day = Day(folder, seed, seconds, say=(lambda line: None) if as_json else lambda line: print(line, flush=True), cores=cores)
+        try:
+            report = asyncio.run(day.run())
+        except OSError as error:
+            fail(f"demo: {error}", 1)
+        if as_json:
+            print(json.dumps(report.as_dict(), indent=1))
+        else:
+            print("\nwhy agents voted as they did:", *(f"  {line}" for line in day.reasons()), "", report.text(), sep="\n")
+    raise typer.Exit(1 if report.breaches else 0)
+
+
+@app.command()
+def faults(seed: Annotated[int, typer.Option(help="All faults are drawn from it.")] = 1,
+           seconds: Annotated[float, typer.Option(min=3, max=3600, help="For so long.")] = 30.0,
+           controllers: Annotated[int, typer.Option(min=1, max=7)] = 3,
+           agents: Annotated[int, typer.Option(min=1, max=440, help="Light ones: they hear and vote, and carry nothing.")] = 12,
+           unfenced: Annotated[bool, typer.Option("--unfenced", help="Receivers take all: a fault to prove the verdict.")] = False,
+           keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and records in this folder.")] = None) -> None:
+    """Kill, stop and cut off controllers while builds are released, and judge by what receivers saw."""
+    import tempfile
+
+    from ..faults.rig import Scale, play
+
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
+        if keep is not None and keep.exists() and any(keep.iterdir()):
+            fail(f"--keep {keep}: holds something: a new or empty folder is due")
+        try:
+            verdict, rig = asyncio.run(play(keep or Path(scratch), Scale(controllers, agents), seed, seconds, unfenced,
+                                            lambda line: print(line, flush=True)))
+        except OSError as error:
+            fail(f"faults: {error}", 1)
+    print(", ".join(f"{name} {count}" for name, count in sorted(rig.counts.items())), verdict.text(), sep="\n")
+    raise typer.Exit(1 if verdict.breaches else 0)
+
+
+@app.command()
+def replay(file: Annotated[Path, typer.Argument(metavar="DAY.json", help="As the bench's `draw` writes it.")],
+           report: Annotated[Optional[Path], typer.Option(help="The bench's own `run --json` of the day.")] = None,
+           machines: Annotated[int, typer.Option(min=2, max=60, help="At most so many of the day's machines.")] = 12,
+           agents: Annotated[int, typer.Option(min=1, max=20, help="At most so many of its agents.")] = 4,
+           seed: Annotated[int, typer.Option(help="Of arrivals and machines.")] = 1,
+           keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and taps in this folder.")] = None) -> None:
+    """Play the kinds of trouble of a bench day at real speed through real agents, scaled down."""
+    import tempfile
+
+    from ..standin.replay import Replay, play
+
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
+        try:
+            found, text = play(Replay(file, keep or Path(scratch), seed, print, machines, agents), report)
+        except BadInput as error:
+            fail(str(error))
+        except OSError as error:
+            fail(f"replay: {error}", 1)
+    print(f"\n{found.text()}\n\n{text}")
+    raise typer.Exit(1 if found.breaches else 0)
+
+
+@app.command(name="audit")
+def audit_command(folder: Annotated[Path, typer.Argument(metavar="DIR", help="As `cartweir demo --keep` leaves it.")],
+                  as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False) -> None:
+    """Decide the five rules from what passed on the sockets of a run."""
+    from ..audit.run import audit
+
+    try:
+        report = audit(folder)
+    except BadInput as error:
+        fail(str(error))
+    print(json.dumps(report.as_dict(), indent=1) if as_json else report.text())
+    raise typer.Exit(1 if report.breaches else 0)
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    print(f"cartweir {__version__}")
+
+
+def main() -> None:
+    app()
--- /dev/null
+++ b/cartweir/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The host of the controllers' decisions: disk, peers, agents' streams, machines and steps' targets."""
--- /dev/null
+++ b/cartweir/faults/light.py
@@ -0,0 +1,90 @@
+"""A light agent: the news and the votes of a real one, without its traffic. What it follows it notes."""
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..agent.clock import monotonic
+from ..agent.news import ConveyorNews, Stamps
+from ..agent.waits import Waits
+from ..interface import ON, Stage
+from ..proto import agent_pb2 as pb
+from ..wire.calls import Channel
+from ..wire.tcp import spawn
+
+
+class _Seat:
+    """As much of a seat as news needs."""
+
+    def __init__(self, stages: int, follow: Callable[[Stage], None]) -> None:
+        self.known, self.operations = {"caps": (0.0,) * stages}, {}
+        self._follow = follow
+
+    def staged(self, stage: Stage) -> None:
+        self._follow(stage)
+
+    def flagged(self, *_: Any) -> None: ...
+    def tallied(self, _: Any) -> None: ...
+
+
+class _Noted(Stamps):
+    """Tells of each decision that is followed, under its stamp."""
+
+    def __init__(self, path: str | None, note: Callable[..., None], on_take: Callable[[tuple], None]) -> None:
+        super().__init__(path, note)
+        self._on_take = on_take
+
+    async def take(self, stamp: Any) -> bool:
+        may = await super().take(stamp)
+        if may:
+            self._on_take(tuple(stamp))
+        return may
+
+
+class LightAgent:
+    """say(kind, **facts): one call for each stage followed and each ballot answered ok. votes: it votes each stage on, as
+    soon as it hears of it, and again while it stands."""
+
+    def __init__(self, number: int, addresses: list[str], say: Callable[..., None], *, stages: int = 3, votes: bool = True,
+                 stage_file: Path | None = None, seed: int = 0) -> None:
+        self.number, self.say, self.votes = number, say, votes
+        chance = random.Random(seed * 1000 + number)
+        self.stamps = _Noted(str(stage_file) if stage_file else None, self._note, self._taken)
+        self.news = ConveyorNews(
+            _Seat(stages, self._follow), [Channel(address, 300_000) for address in addresses], pb.Hello(agent=number),
+            800_000, 6_000_000, Waits(50_000, 500_000, chance), self._note, monotonic, self.stamps, chance)
+        self.stage: Stage | None = None
+        self.stamp: tuple = (0, 0)
+        self.news.start()
+
+    def _note(self, event: str, level: str = "info", **facts: Any) -> None:
+        if event == "vote" and facts["answer"] == "ok":
+            self.say("vote", agent=self.number, build=facts["build"], stage=facts["stage"])
+        elif event == "stage_late":
+            self.say("late", agent=self.number, epoch=facts["epoch"], index=facts["index"])
+
+    def _taken(self, stamp: tuple) -> None:
+        self.stamp = stamp
+
+    def _follow(self, stage: Stage) -> None:
+        if stage.answer not in (None, "ok"):
+            return
+        new = self.stage is None or (stage.build, stage.number, stage.phase) != (
+            self.stage.build, self.stage.number, self.stage.phase)
+        self.stage = stage
+        self.say("stage", agent=self.number, epoch=self.stamp[0], index=self.stamp[1], build=stage.build, stage=stage.number,
+                 phase=stage.phase, cap=stage.cap)
+        if new and self.votes and stage.phase == "on trial":
+            spawn(self._voting((stage.build, stage.number)))
+
+    async def _voting(self, what: tuple[int, int]) -> None:
+        while self.stage is not None and (self.stage.build, self.stage.number) == what and self.stage.phase == "on trial":
+            self.news.vote(*what, ON)
+            await asyncio.sleep(1.0)
+
+    def close(self) -> None:
+        for channel in self.news.channels:
+            channel.close()
--- /dev/null
+++ b/cartweir/faults/rig.py
@@ -0,0 +1,303 @@
+"""The processes of one run: controllers behind cuts, receivers, light agents; and what befalls them."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import socket
+import sys
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from ..agent.clock import monotonic
+from ..controller.directory import found
+from ..controller.settings import ControllerDocument, read_controller
+from ..proto import agent_pb2 as pb
+from ..standin.cut import Cut
+from ..wire.calls import CallError, Channel
+from .light import LightAgent
+from .verdict import Verdict, judge
+
+SETTINGS = """\
+[controller]
+name = {name}
+cluster = rig
+listen = {listen}
+directory = {folder}/dir-{name}
+heartbeat = {heartbeat}ms
+election = {election}ms
+absent = {absent}ms
+stuck = 2s
+agents_quiet = 1500ms
+compact = 1000000
+[members]
+{members}
+[routes]
+{routes}
+[release]
+control = share
+shares = 0.1, 0.35, 1
+caps = 0.14, 0.49, 1
+on_votes = {on_votes}
+back_votes = {on_votes}
+vote_life = 5s
+vote_allowance = 2000
+[waves]
+bake = 300ms
+grace = 500ms
+repeat = 1s
+machines = {machines}
+[steps owners]
+names = {steps}
+target = {target}
+build = 2
+before = 2
+[log]
+format = json
+"""
+
+
+def free_ports(count: int) -> list[str]:
+    """Addresses that were free a moment ago."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for sock in held:
+            sock.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in held]
+    finally:
+        for sock in held:
+            sock.close()
+
+
+@dataclass
+class Scale:
+    """Of a run. Times in milliseconds."""
+    controllers: int = 3
+    agents: int = 12
+    heartbeat: int = 60
+    election: int = 300
+    steps: tuple = ("add", "copy", "drop", "check")
+
+
+class Rig:
+    """Raises OSError where ports or the folder cannot be had. unfenced: receivers that take all, a fault put in."""
+
+    def __init__(self, folder: Path, scale: Scale, seed: int = 1, unfenced: bool = False) -> None:
+        self.folder, self.scale, self.seed, self.unfenced = folder, scale, seed, unfenced
+        self.names = [chr(ord("a") + i) for i in range(scale.controllers)]
+        self.chance = random.Random(seed)
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.documents: dict[str, ControllerDocument] = {}
+        self.agents: list[LightAgent] = []
+        self.facts: list[dict[str, Any]] = []
+        self.followed: list[dict[str, Any]] = []
+        self.told_ok: list[tuple] = []
+        self.began = monotonic()
+        self.counts: Counter = Counter()
+
+    def say(self, event: str, **facts: Any) -> None:
+        row = {"time": monotonic(), "event": event, **facts}
+        (self.followed if event == "stage" else self.facts).append(row)
+        if event == "vote":
+            self.told_ok.append((facts["agent"], facts["build"], facts["stage"]))
+
+    # ---- making ----
+    async def start(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        scale, names = self.scale, self.names
+        listen = dict(zip([*names, "receivers"], free_ports(len(names) + 1)))
+        self.listen, self.record = listen, self.folder / "receivers.jsonl"
+        pairs = [(f"{a}-{b}", "127.0.0.1:0", listen[b]) for a in names for b in names if a != b]
+        pairs += [(f"{a}-{what}", "127.0.0.1:0", listen["receivers"]) for a in names for what in ("machines", "steps")]
+        pairs += [(f"agents-{a}", "127.0.0.1:0", listen[a]) for a in names]
+        self.cut = Cut(pairs, self.say)
+        ways = await self.cut.start("127.0.0.1:0")
+        for name in names:
+            path = self.folder / f"{name}.ini"
+            path.write_text(SETTINGS.format(
+                name=name, listen=listen[name], folder=self.folder, heartbeat=scale.heartbeat, election=scale.election,
+                absent=3 * scale.election, members="\n".join(f"{n} = {listen[n]}" for n in names),
+                routes="\n".join(f"{n} = {ways[f'{name}-{n}']}" for n in names if n != name),
+                on_votes=max(1, scale.agents // 2), machines=ways[f"{name}-machines"], target=ways[f"{name}-steps"],
+                steps=", ".join(scale.steps)))
+            self.documents[name] = read_controller(path)
+            found(self.documents[name])
+        await asyncio.gather(self.run("receivers"), *map(self.run, names))
+        addresses = [ways[f"agents-{a}"] for a in names]
+        self.agents = [LightAgent(number, addresses, self.say, seed=self.seed, stage_file=self.folder / f"agent{number}.stage")
+                       for number in range(scale.agents)]
+
+    async def run(self, name: str) -> None:
+        """A process of the program, in its own folder's log."""
+        arguments = ["standin", "receivers", "--record", str(self.record), "--listen", self.listen["receivers"]] if (
+            name == "receivers") else ["controller", "run", "--settings", str(self.folder / f"{name}.ini")]
+        if name == "receivers" and self.unfenced:
+            arguments.append("--unfenced")
+        with open(self.folder / f"{name}.log", "a") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "cartweir", *arguments, stdout=log, stderr=log, cwd=Path(__file__).parents[2])
+
+    # ---- asking ----
+    async def ask(self, name: str, **asked: Any) -> Any:
+        """None: no answer, or refused."""
+        channel = Channel(self.listen[name], 300_000)
+        try:
+            message = pb.Text(json=json.dumps(asked)).SerializeToString()
+            answer = await channel.unary("/cartweir.v1.Controller/Ask", message, 1_500_000)
+            return json.loads(pb.Text.FromString(answer.message).json)
+        except CallError:
+            return None
+        finally:
+            channel.close()
+
+    async def until(self, holds: Callable[[dict[str, Any]], bool], seconds: float = 20.0) -> dict[str, Any]:
+        """A controller's status that holds. Raises TimeoutError with the last one seen."""
+        end, last = monotonic() + int(seconds * 1e6), None
+        while monotonic() < end:
+            for name in self.names:
+                if self.alive(name) and (status := await self.ask(name, ask="status")) is not None:
+                    last = status
+                    if holds(status):
+                        return status
+            await asyncio.sleep(0.03)
+        raise TimeoutError(f"no controller came to it within {seconds:g} s; last: {last}")
+
+    async def owner(self, duty: str = "release", seconds: float = 20.0) -> str:
+        status = await self.until(lambda s: s["role"] == "leader" and s["duties"][duty]["owner"] is not None, seconds)
+        return status["duties"][duty]["owner"]
+
+    async def offer(self, build: int) -> bool:
+        for name in self.names:
+            if self.alive(name) and (answer := await self.ask(name, ask="offer", build=build, machines=10)) and answer.get("taken"):
+                return True
+        return False
+
+    def alive(self, name: str) -> bool:
+        return name in self.processes and self.processes[name].returncode is None
+
+    # ---- faults ----
+    def signal(self, name: str, number: int) -> None:
+        if self.alive(name):
+            self.say("signal", who=name, number=signal.Signals(number).name)
+            self.counts[signal.Signals(number).name] += 1
+            self.processes[name].send_signal(number)
+
+    async def kill(self, name: str) -> None:
+        self.signal(name, signal.SIGKILL)
+        await self.processes[name].wait()
+
+    def hurt(self, *command: str) -> None:
+        self.counts[command[1]] += 1
+        self.cut.command(list(command))
+
+    def apart(self, name: str, what: str = "hold", way: str = "both") -> None:
+        """From its peers: all routes from it and to it."""
+        for other in self.names:
+            if other != name:
+                for route in (f"{name}-{other}", f"{other}-{name}"):
+                    self.hurt(route, what, way)
+
+    async def trouble(self, note: Callable[[str], None]) -> None:
+        """One drawn fault, and its end."""
+        chance = self.chance
+        name = chance.choice(self.names)
+        if chance.random() < 0.6:               # where it hurts most
+            with contextlib.suppress(TimeoutError):
+                name = await self.owner(chance.choice(("release", "steps owners")), 3)
+        span = chance.choice((0.3, 0.8, 1.5, 3.0))
+        kind = chance.choice(("kill", "kill", "stop", "stop", "apart", "one-way", "from-agents", "from-machines", "slow", "reset", "all"))
+        self.say("trouble", kind=kind, who=name, seconds=span)
+        note(f"{(monotonic() - self.began) / 1e6:5.1f} s  {kind}: {name}, {span:g} s")
+        match kind:
+            case "kill":
+                if self.alive(name):
+                    await self.kill(name)
+                    await asyncio.sleep(span)
+                    await self.run(name)
+            case "stop":
+                self.signal(name, signal.SIGSTOP)
+                await asyncio.sleep(span)
+                self.signal(name, signal.SIGCONT)
+            case "apart":
+                self.apart(name)
+                await asyncio.sleep(span)
+                self.apart(name, "pass")
+            case "one-way":
+                for other in self.names:
+                    if other != name:
+                        self.hurt(f"{name}-{other}", "hold", "out")
+                await asyncio.sleep(span)
+                for other in self.names:
+                    if other != name:
+                        self.hurt(f"{name}-{other}", "pass")
+            case "from-agents" | "from-machines":
+                route = f"agents-{name}" if kind == "from-agents" else f"{name}-machines"
+                self.hurt(route, "hold")
+                await asyncio.sleep(span)
+                self.hurt(route, "pass")
+            case "slow":
+                for other in self.names:
+                    if other != name:
+                        self.hurt(f"{other}-{name}", "delay", "150ms")
+                await asyncio.sleep(span)
+                for other in self.names:
+                    if other != name:
+                        self.hurt(f"{other}-{name}", "pass")
+            case "reset":
+                self.hurt("all", "reset")
+            case "all":
+                await asyncio.gather(*(self.kill(n) for n in [*self.names, "receivers"] if self.alive(n)))
+                await asyncio.gather(*(self.run(n) for n in [*self.names, "receivers"]))
+
+    # ---- the end ----
+    async def end(self) -> Verdict:
+        await self.stop()
+        return judge(list(self.documents.values()), self.record, self.followed, self.told_ok)
+
+    async def stop(self) -> None:
+        """Ends all by SIGTERM."""
+        self.cut.command(["all", "pass"])
+        for agent in self.agents:
+            agent.close()
+        for name, process in self.processes.items():
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                await asyncio.wait_for(process.wait(), 10)
+            except (asyncio.TimeoutError, TimeoutError):
+                process.kill()
+                await process.wait()
+        if not self.record.exists():
+            self.record.touch()
+        with open(self.folder / "facts.jsonl", "w") as file:
+            file.writelines(json.dumps(row) + "\n" for row in self.facts)
+
+    async def play(self, seconds: float, note: Callable[[str], None] = lambda text: None) -> Verdict:
+        """Builds are offered and voted on while faults are drawn; quiet at the end, in which a leader has to be found."""
+        await self.start()
+        end, build, next_offer = monotonic() + int(seconds * 1e6), 2, 0
+        try:
+            await self.owner()
+            while monotonic() < end:
+                if monotonic() >= next_offer and await self.offer(build):
+                    build, next_offer = build + 1, monotonic() + 8_000_000
+                await self.trouble(note)
+                await asyncio.sleep(self.chance.uniform(0.05, 0.6))
+            self.cut.command(["all", "pass"])
+            await self.owner(seconds=15)
+        finally:
+            verdict = await self.end()
+        return verdict
+
+
+async def play(folder: Path, scale: Scale, seed: int, seconds: float, unfenced: bool, note: Callable[[str], None]) -> tuple[Verdict, Rig]:
+    rig = Rig(folder, scale, seed, unfenced)
+    return await rig.play(seconds, note), rig
+
--- a/cartweir/settings/ini.py
+++ b/cartweir/settings/ini.py
@@ -1,6 +1,7 @@
 """From an INI file to a checked document, or to everything that is wrong with it at once."""
 from __future__ import annotations
 
+from collections.abc import Mapping
 from configparser import ConfigParser, Error
 from difflib import get_close_matches
 from pathlib import Path
@@ -50,37 +51,40 @@
         elif name in SECTIONS and name != "operation NAME" or name == "peers":
             shape[name] = keys
         else:
-            problems.append(f"{path}: [{name}]: unknown section{_near(name, [*SECTIONS, 'peers'])}")
+            problems.append(f"{path}: [{name}]: unknown section{near(name, [*SECTIONS, 'peers'])}")
     try:
         document = AgentDocument.model_validate(shape)
     except ValidationError as error:
-        problems.extend(f"{path}: {line}" for line in _problems(error, AgentDocument))
+        problems.extend(f"{path}: {line}" for line in problems_of(error, SECTIONS, {"operations": "operation NAME"}))
     if problems:
         raise BadInput(problems)
     return document
 
 
-def _near(name: str, names: list[str]) -> str:
-    near = get_close_matches(name, names, 1)
-    return f": [{near[0]}] is meant?" if near else f": one of {', '.join(f'[{n}]' for n in names)} is due"
+def near(name: str, names: list[str]) -> str:
+    found = get_close_matches(name, names, 1)
+    return f": [{found[0]}] is meant?" if found else f": one of {', '.join(f'[{n}]' for n in names)} is due"
 
 
-def _problems(error: ValidationError, document: type[BaseModel]) -> list[str]:
-    return [line for item in error.errors() for line in _lines(item, document)]
+def problems_of(error: ValidationError, sections: Mapping[str, type[BaseModel]], groups: Mapping[str, str]) -> list[str]:
+    """What pydantic found, in the words of an INI file. groups: a document's field that holds sections such as
+    [operation NAME], and under what name those stand in `sections`."""
+    return [line for item in error.errors() for line in _lines(item, sections, groups)]
 
 
-def _lines(item: dict[str, Any], document: type[BaseModel]) -> list[str]:
-    """One finding of pydantic in the words of an INI file."""
+def _lines(item: dict[str, Any], sections: Mapping[str, type[BaseModel]], groups: Mapping[str, str]) -> list[str]:
     where, reason = list(item["loc"]), str(item["msg"]).removeprefix("Value error, ")
     if not where:
         return reason.split("\n")
-    if where == ["operations"]:
-        return ["[operation NAME]: at least one operation is due"]
-    if where[0] == "operations":
-        section, keys = f"operation {where[1]}", where[2:]
+    if where[0] in groups:
+        named = groups[where[0]]
+        if len(where) == 1:
+            return [f"[{named}]: at least one is due"]
+        section, keys = f"{named.split()[0]} {where[1]}", where[2:]
     else:
-        section, keys = str(where[0]), where[1:]
-    model = SECTIONS.get("operation NAME" if where[0] == "operations" else section)
+        section = named = str(where[0])
+        keys = where[1:]
+    model = sections.get(named)
     if item["type"] == "missing" and not keys:
         return [f"[{section}]: the section is missing"]
     if not keys:
@@ -88,10 +92,10 @@
     key = str(keys[0])
     field = model.model_fields.get(key) if model else None
     if item["type"] == "extra_forbidden":
-        near = get_close_matches(key, list(model.model_fields), 1) if model else []
-        right = f"{near[0]} is meant?" if near else f"one of {', '.join(model.model_fields)} is due"
+        close = get_close_matches(key, list(model.model_fields), 1) if model else []
+        right = f"{close[0]} is meant?" if close else f"one of {', '.join(model.model_fields)} is due"
         return [f"[{section}] {key}: unknown key: {right}"]
-    due = unit_of(field) if field is not None else "number = host:port"
+    due = unit_of(field) if field is not None else "a line such as NAME = host:port"
     if item["type"] == "missing":
         return [f"[{section}] {key}: missing: {due} is due ({field.description})"]
     return [f"[{section}] {key} = {item['input']}: {reason}" + ("" if " due" in reason else f": {due} is due")]
--- a/cartweir/settings/schema.py
+++ b/cartweir/settings/schema.py
@@ -7,7 +7,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from .units import Address, Cores, Count, Flag, Names, Number, Share, Shares, Size, Some, Span, Time
+from .units import Address, Addresses, Cores, Count, Flag, Names, Number, Share, Shares, Size, Some, Span, Time
 
 _PATH = re.compile(r"/[A-Za-z_][\w.]*/[A-Za-z_]\w*")
 
@@ -33,6 +33,8 @@
                             "ended by force and started anew")
     list_file: Annotated[str | None, "path"] = Field(
         None, description="keeps the last list of appliances, from which the agent starts while the registry is away")
+    stage_file: Annotated[str | None, "path"] = Field(
+        None, description="keeps which of the controllers' decisions was followed last, so that none older is after a restart")
 
 
 class RegistrySection(Section):
@@ -45,8 +47,10 @@
 
 class ConveyorSection(Section):
     """Where news of builds comes from and votes go to."""
-    address: Address = Field(description="of the conveyor")
+    address: Addresses = Field(description="of the conveyor, or of all controllers: any of them tells and counts for all")
     vote_timeout: Span = Field(1_000_000, description="a vote without an answer by then may count")
+    silence: Span = Field(10_000_000, description="of several, one that says nothing for so long is left for the next; they "
+                          "tell the stage again every 4 s")
 
 
 class AllowedSection(Section):
@@ -59,6 +63,9 @@
     may_advise: Flag = Field(True, description="a throttled client is told when to come back")
     max_advice: Time = Field(1_000_000, description="longest such advice")
     dispatch_limit: Some = Field(5, description="dispatches an invocation may have")
+    probe_price: Number = Field(0.0, description="what one probe an invocation costs, as a part of the worth asked for; above "
+                                "0.01, probes are that much rarer")
+    connect_price: Number = Field(0.0, description="what one new connection an invocation costs; above 0, standing ones go first")
 
 
 class AppliancesSection(Section):
--- a/cartweir/settings/units.py
+++ b/cartweir/settings/units.py
@@ -49,6 +49,12 @@
     return text
 
 
+def _addresses(texts: tuple[str, ...]) -> tuple[str, ...]:
+    if len(set(texts)) != len(texts):
+        raise ValueError("one stands there twice: each address once is due")
+    return tuple(map(_address, texts))
+
+
 def _cores(text: Any) -> Any:
     """auto: one part for each core that this process may use, but one."""
     return max(1, len(os.sched_getaffinity(0)) - 1) if text == "auto" else text
@@ -66,3 +72,5 @@
 Number = Annotated[float, Field(ge=0, allow_inf_nan=False), "number"]
 Flag = Annotated[bool, "yes or no"]
 Address = Annotated[str, AfterValidator(_address), "host:port"]
+Addresses = Annotated[tuple[str, ...], BeforeValidator(parse_list), Field(min_length=1), AfterValidator(_addresses),
+                      "host:port, several by commas"]
--- a/cartweir/standin/steer.py
+++ b/cartweir/standin/steer.py
@@ -164,11 +164,11 @@
         self.fleet.say(f"quality {build} {parts}")
 
 
-async def send(address: str, text: str) -> None:
+async def send(address: str, text: str, path: str = PATH) -> None:
     """Raises ValueError with the field's own words."""
     channel = Channel(address, 1_000_000)
     try:
-        await channel.unary(PATH, text.encode(), 2_000_000)
+        await channel.unary(path, text.encode(), 2_000_000)
     except CallError as error:
         raise ValueError(error.text) from None
     finally:
--- /dev/null
+++ b/tests/test_controllers.py
@@ -0,0 +1,295 @@
+"""Controllers, receivers and agents as processes, with faults between them; each verdict is what receivers saw, held beside what
+a majority has on disk."""
+from __future__ import annotations
+
+import asyncio
+import functools
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from cartweir.faults.rig import Rig, Scale, free_ports
+
+ROOT = Path(__file__).parents[1]
+
+
+def rigged(seconds=60, **scale):
+    """A test on a rig that has started and has an owner; the verdict at its end must have no breach."""
+    def wrap(test):
+        @functools.wraps(test)
+        def run(tmp_path):
+            async def play():
+                rig = Rig(tmp_path / "rig", Scale(**scale))
+                await rig.start()
+                try:
+                    await asyncio.wait_for(test(rig, await rig.owner()), seconds)
+                finally:
+                    verdict = await rig.end()
+                assert not verdict.breaches, verdict.text()
+                return verdict
+            asyncio.run(play())
+        del run.__wrapped__
+        return run
+    return wrap
+
+
+def cartweir(*words):
+    return subprocess.run([sys.executable, "-m", "cartweir", *map(str, words)], cwd=ROOT, capture_output=True, text=True, timeout=30)
+
+
+def other_than(rig, *names):
+    return next(name for name in rig.names if name not in names)
+
+
+def released(build):
+    return lambda s: s["release"]["build"] == build and s["release"]["phase"] == "RELEASED"
+
+
+def stage_is(build, stage):
+    return lambda s: s["release"]["build"] == build and s["release"]["stage"] >= stage
+
+
+async def until_late(rig, seconds=15):
+    """Until a receiver has refused an effect."""
+    for _ in range(int(seconds / 0.05)):
+        if rig.record.exists() and any('"taken": false' in line or '"how": "late"' in line
+                                       for line in rig.record.read_text().splitlines()):
+            return
+        await asyncio.sleep(0.05)
+    raise TimeoutError("no effect was refused")
+
+
+@rigged()
+async def test_a_release_with_its_steps_in_order_and_no_fault(rig, owner):
+    assert await rig.offer(2)
+    status = await rig.until(released(2))
+    assert status["steps"]["owners"]["done"] == ["add", "copy", "drop", "check"]
+
+
+@rigged()
+async def test_the_owner_is_stopped_amid_a_stage_and_wakes_up_late(rig, owner):
+    assert await rig.offer(2)
+    await rig.until(stage_is(2, 0))
+    epoch = (await rig.until(lambda s: True))["duties"]["release"]["epoch"]
+    rig.signal(owner, signal.SIGSTOP)
+    status = await rig.until(lambda s: s["duties"]["release"]["epoch"] > epoch)
+    assert status["duties"]["release"]["owner"] != owner
+    await rig.until(released(2))
+    rig.signal(owner, signal.SIGCONT)
+    await rig.until(lambda s: s["name"] == owner and s["led"] and released(2)(s))
+
+
+@rigged()
+async def test_a_call_of_the_old_owner_is_held_back_and_delivered_late(rig, owner):
+    rig.hurt(f"{owner}-machines", "hold", "out")
+    assert await rig.offer(2)
+    await rig.until(stage_is(2, 0))
+    # it can't reach the machines though it hears its peers: it gives the duty up, and the release goes on
+    status = await rig.until(lambda s: s["duties"]["release"]["owner"] not in (owner, None))
+    assert status["role"] == "leader" or status["led"]
+    await rig.until(stage_is(2, 1))
+    rig.hurt(f"{owner}-machines", "pass")
+    await until_late(rig)
+    await rig.until(released(2))
+
+
+@rigged()
+async def test_the_owner_of_steps_is_killed_with_a_step_on_its_way(rig, owner):
+    steps_owner = await rig.owner("steps owners")
+    rig.hurt(f"{steps_owner}-steps", "hold", "back")        # the step runs, its answer is lost
+    assert await rig.offer(2)
+    await rig.until(lambda s: s["steps"]["owners"]["how"] == "begun")
+    while '"kind": "step"' not in rig.record.read_text():
+        await asyncio.sleep(0.02)
+    await rig.kill(steps_owner)
+    status = await rig.until(lambda s: len(s["steps"]["owners"]["done"]) == 4)
+    assert status["duties"]["steps owners"]["owner"] != steps_owner
+    assert rig.record.read_text().count('"kind": "step"') == 4
+
+
+@rigged()
+async def test_the_target_dies_between_steps_and_nothing_runs_twice(rig, owner):
+    assert await rig.offer(2)
+    for count in range(1, 4):
+        await rig.until(lambda s: len(s["steps"]["owners"]["done"]) >= count)
+        await rig.kill("receivers")
+        await rig.run("receivers")
+    await rig.until(released(2))
+
+
+@rigged()
+async def test_all_controllers_and_receivers_are_killed_at_once(rig, owner):
+    assert await rig.offer(2)
+    before = await rig.until(stage_is(2, 1))
+    await asyncio.gather(*(rig.kill(name) for name in [*rig.names, "receivers"]))
+    await asyncio.gather(*(rig.run(name) for name in [*rig.names, "receivers"]))
+    after = await rig.until(stage_is(2, 1))
+    assert after["decided"] >= before["decided"] and after["term"] > before["term"]
+    await rig.until(released(2))
+
+
+@rigged()
+async def test_a_partition_leaves_one_owner_and_its_other_side_tells_agents_nothing_new(rig, owner):
+    rig.apart(owner)
+    assert await asyncio.wait_for(_elsewhere(rig, owner), 20)
+    other = other_than(rig, owner)
+    assert (await rig.ask(other, ask="offer", build=2, machines=10))["taken"]
+    await rig.until(lambda s: s["name"] == owner and not s["led"])
+    status = await rig.ask(owner, ask="status")
+    assert status["release"]["build"] == 1 and status["role"] != "leader"
+    await rig.until(released(2))                # by the agents that have moved on to the other side
+    rig.apart(owner, "pass")
+    await rig.until(lambda s: s["name"] == owner and released(2)(s))
+
+
+async def _elsewhere(rig, owner):
+    return await rig.until(lambda s: s["name"] != owner and s["duties"]["release"]["owner"] not in (owner, None))
+
+
+@rigged()
+async def test_an_owner_that_hears_but_is_not_heard_stops(rig, owner):
+    for name in rig.names:
+        if name != owner:
+            rig.hurt(f"{owner}-{name}", "hold", "out")
+    await _elsewhere(rig, owner)
+    assert await rig.offer(2)
+    await rig.until(released(2))
+
+
+@rigged()
+async def test_a_lost_directory_is_joined_anew_and_votes_only_once_it_holds_the_log(rig, owner):
+    assert await rig.offer(2)
+    await rig.until(stage_is(2, 1))
+    lost = other_than(rig, owner)
+    await rig.kill(lost)
+    shutil.rmtree(rig.folder / f"dir-{lost}")
+    done = cartweir("controller", "run", "-s", rig.folder / f"{lost}.ini")
+    assert done.returncode == 1 and "controller join" in done.stderr and done.stderr.count("\n") == 1
+    done = cartweir("controller", "join", "-s", rig.folder / f"{lost}.ini")
+    mark = done.stdout.split("--mark ")[1].split()[0]
+    await rig.run(lost)
+    status = await rig.until(lambda s: s["name"] == lost)
+    assert status["members"] == {} and status["release"]["build"] == 1     # what it hears does not count yet
+    done = await asyncio.to_thread(cartweir, "controller", "admit", lost, "--mark", mark, "--address", rig.listen[lost],
+                                   "--at", rig.listen[owner])
+    assert done.returncode == 0, done.stderr
+    await rig.until(lambda s: s["name"] == lost and s["members"].get(lost, {}).get("votes") and stage_is(2, 1)(s))
+    await rig.kill(other_than(rig, lost, await rig.owner()) if await rig.owner() == lost else await rig.owner())
+    await rig.until(released(2))
+
+
+@rigged()
+async def test_a_copied_directory_at_another_address_leads_nobody(rig, owner):
+    copied = other_than(rig, owner)
+    shutil.copytree(rig.folder / f"dir-{copied}", rig.folder / "dir-copy")
+    (address,) = free_ports(1)
+    text = (rig.folder / f"{copied}.ini").read_text()
+    text = text.replace(f"listen = {rig.listen[copied]}", f"listen = {address}").replace(f"dir-{copied}", "dir-copy")
+    (rig.folder / "copy.ini").write_text(text)
+    rig.listen["copy"] = address
+    await rig.run("copy")
+    while (status := await rig.ask("copy", ask="status")) is None:
+        await asyncio.sleep(0.05)
+    rig.signal(copied, signal.SIGSTOP)          # the copy alone speaks under that name now
+    assert await rig.offer(2)
+    await rig.until(released(2))
+    rig.signal(copied, signal.SIGCONT)
+    status = await rig.ask("copy", ask="status")
+    assert status["role"] != "leader" and status["release"]["build"] == 1
+    await rig.until(lambda s: s["name"] == copied and released(2)(s))
+
+
+@rigged()
+async def test_hand_over_changes_the_owner_thrice_within_a_stage(rig, owner):
+    for agent in rig.agents:
+        agent.votes = False
+    assert await rig.offer(2)
+    seen = [owner]
+    for _ in range(3):
+        epoch = (await rig.until(stage_is(2, 0)))["duties"]["release"]["epoch"]
+        done = await asyncio.to_thread(cartweir, "controller", "hand-over", "release", "--at", ",".join(
+            rig.listen[name] for name in rig.names))
+        assert done.returncode == 0, done.stderr
+        status = await rig.until(lambda s: s["duties"]["release"]["epoch"] > epoch)
+        seen.append(status["duties"]["release"]["owner"])
+    assert all(a != b for a, b in zip(seen, seen[1:]))
+    rows = await rig.ask(owner, ask="history")
+    assert [row["why"] for row in rows if row["duty"] == "release"].count("asked for") == 3
+
+
+def test_recover_begins_an_incarnation_above_all_epochs(tmp_path):
+    async def play():
+        rig = Rig(tmp_path / "rig", Scale())
+        await rig.start()
+        try:
+            owner = await rig.owner()
+            assert await rig.offer(2)
+            before = await rig.until(stage_is(2, 1))
+            await asyncio.gather(*(rig.kill(name) for name in rig.names))
+            shutil.rmtree(rig.folder / f"dir-{owner}")
+            left, lost = [name for name in rig.names if name != owner]
+            await rig.run(left)
+            status = await rig.until(lambda s: s["name"] == left)
+            assert not status["led"] and not await rig.offer(3)     # alone it leads nobody
+            await rig.kill(left)
+            refused = cartweir("controller", "recover", "-s", rig.folder / f"{left}.ini")
+            assert refused.returncode == 2 and "--others-are-gone" in refused.stderr
+            done = cartweir("controller", "recover", "-s", rig.folder / f"{left}.ini", "--others-are-gone")
+            assert done.returncode == 0 and "incarnation 1" in done.stdout, done.stderr
+            await rig.run(left)
+            status = await rig.until(lambda s: s["name"] == left and s["duties"]["release"]["owner"] == left)
+            assert status["duties"]["release"]["epoch"] > before["duties"]["release"]["epoch"] and status["incarnation"] == 1
+            await rig.run(lost)                 # one of the old incarnation that comes back after all is not heard
+            await rig.until(lambda s: s["name"] == left and released(2)(s))
+            status = await rig.ask(lost, ask="status")
+            assert status["role"] != "leader" and status["incarnation"] == 0
+        finally:
+            await rig.stop()
+    asyncio.run(play())
+
+
+def test_receivers_without_a_fence_are_found_out(tmp_path):
+    """The verdict's own proof: the same late call as above, at receivers that take whatever comes."""
+    async def play():
+        rig = Rig(tmp_path / "rig", Scale(), unfenced=True)
+        await rig.start()
+        try:
+            owner = await rig.owner()
+            rig.hurt(f"{owner}-machines", "hold", "out")
+            assert await rig.offer(2)
+            await rig.until(stage_is(2, 1))
+            lines = len(rig.record.read_text().splitlines())
+            rig.hurt(f"{owner}-machines", "pass")
+            while len(rig.record.read_text().splitlines()) < lines + 2:
+                await asyncio.sleep(0.05)
+        finally:
+            verdict = await rig.end()
+        assert any("was carried out after" in breach for breach in verdict.breaches), verdict.text()
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+@pytest.mark.parametrize("change, says", [
+    ("cluster = rig", "of cluster rig"), ("name = a", "of name a"), ("election = 300ms", "at least three heartbeats"),
+    ("build = 2", "build: missing"), ("caps = 0.14", "caps")])
+def test_bad_settings_and_another_ones_directory_end_with_one_line(tmp_path, change, says):
+    async def make():
+        rig = Rig(tmp_path / "rig", Scale(agents=0))
+        await rig.start()
+        await rig.end()
+        return rig
+    rig = asyncio.run(make())
+    path = rig.folder / "a.ini"
+    new = {"cluster = rig": "cluster = other", "name = a": "name = b", "election = 300ms": "election = 100ms", "build = 2\n": "",
+           "caps = 0.14": "caps = 0.9"}
+    text = path.read_text()
+    for old, to in new.items():
+        if old.strip() == change:
+            path.write_text(text.replace(old, to, 1))
+    log = (rig.folder / "dir-a" / "log").read_bytes()
+    done = cartweir("controller", "run", "-s", path)
+    assert done.returncode in (1, 2) and says in done.stderr and "Traceback" not in done.stderr, done.stderr
+    assert (rig.folder / "dir-a" / "log").read_bytes() == log
