--- a/cartweir/known.py
+++ b/cartweir/known.py
@@ -41,6 +41,7 @@
     "delay_price": ("familyInfo.lagFee", "number", 0.0), "harm_price": ("familyInfo.blastPrice", "number", 0.0),
     "warm_keys": ("familyInfo.warmKeys", "flag", False), "zone_price": ("tariffs.crossZone", "number", 0.0),
     "waste_price": ("tariffs.waste", "number", 0.0), "connect_price": ("tariffs.handshake", "number", 0.0),
+    "probe_price": ("tariffs.probe", "number", 0.0),
 }
 
 
--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -29,6 +29,8 @@
 SLOW_BY = 1.4                               # beyond what cold memories of keys explain
 FEW = 4.0                                   # so many open ones an agent is free to reach
 LOOK, STALL, STALE = 500 * MS, 150 * MS, S  # between looks at evidence; own stall; load is no longer known
+THRIFT = 0.01                               # of the worth asked for: what probes may cost
+STAY, ENOUGH = 0.9, 6                       # of the dispatches, on standing connections, where so many stand
 UNREAD = 0.6                                # of the SLO time: out for longer may be answered unread
 FIT = 0.7                                   # of the cap: what one-way keys may bind
 COLD = 0.55                                 # of the multiple at which a cold one falls: its part at most
@@ -459,10 +461,14 @@
 
     def handy(self, side: list[Appliance]) -> list[Appliance]:
         """Of the own zone, which costs least, unless that is strained. Where new connections fail, those that
-        have one: guards against appliances that take few, and links that break off."""
+        have one, and also where many have and a new one has its price: guards against appliances that take few,
+        links that break off, and agents that each leave their connections idle for new ones."""
         home, now, idle = self.known["zone"], self.host.now, self.known["idle_time"]
         stays, luck = side is self.earlier and self.chance.random() >= 4 * self.strain, self.chance.random()
         near = [a for a in side if a.zone == home] if stays else side
+        linked = [a for a in near or side if 0 < a.learned.linked > now - idle]
+        if self.known["connect_price"] > 0 and len(linked) >= ENOUGH and luck < STAY:
+            return linked
         return [a for a in near or side if 0 < a.learned.linked > now - idle
                 or luck >= min(0.9, 2 * self.links.get(a.zone, 0.0))]
 
@@ -499,13 +505,15 @@
         """Whom to probe: own dispatches may be too few to tell of a load, a standstill or a slow link."""
         stale = [a for a in pair if self.host.now - a.learned.heard > STALE]
         worth = self.known["may_probe"] and len(pair) == 2 and self.probes_tell
-        return stale if worth and self.chance.random() < max(self.probes_answered, 0.05) else []
+        # guards against a fleet whose probes cost more than they tell: each asks little, all together much
+        often = min(1.0, THRIFT / max(self.known["probe_price"], THRIFT))
+        return stale if worth and self.chance.random() < often * max(self.probes_answered, 0.05) else []
 
     # ---- votes -------------------------------------------------------------------------------------------
     def on_stage(self, stage: Stage) -> None:
         old, known = self.stage, self.known
         if stage.answer not in (None, "ok"):        # a refused vote brings no news, whatever its fields say
-            return None if stage.answer == MOOT else self.recast(self.vote)
+            return None if stage.answer == MOOT else self.recast(self.vote, stage.answer == FULL)
         self.stage = stage
         self.regroup()
         if old is None or stage.build != old.build:
@@ -516,9 +524,10 @@
         if old is None or stage.word != old.word:
             self.vote, self.undecided_since, self.stage_since = None, 0, self.host.now - stage.age
             self.due = known["shares"][stage.number] * len(self.fleet if known["in_place"] else self.earlier)
-            voters = max(known["vote_allowance"] * known["vote_life"] / S,
-                         known["on_votes"] if known["control"] == "share" else 0)
-            self.votes = self.chance.random() < voters / known["agents"]
+            needed, agents = known["on_votes"] if known["control"] == "share" else 0, known["agents"]
+            enough = needed + 3 * (needed * max(0.0, 1 - needed / agents)) ** 0.5   # also by an unlucky draw
+            voters = max(known["vote_allowance"] * known["vote_life"] / S, enough)
+            self.votes = self.chance.random() < voters / agents
             self.tend(stage)
             self.stir()
 
@@ -555,7 +564,7 @@
         vote = (self.stage.build, self.stage.number, verdict)
         if self.vote not in (vote, (*vote[:2], BACK)):
             self.vote, self.may_recast = vote, True
-            wait = self.some(2 * VOTE_SPREAD if verdict != BACK else 100 * MS)
+            wait = self.chance.randrange(2 * VOTE_SPREAD) if verdict != BACK else self.some(100 * MS)
             self.host.at(self.host.now + wait, lambda: self.cast(vote))
 
     def cast(self, vote: tuple) -> None:
@@ -574,11 +583,12 @@
             else:
                 self.cast(vote)
 
-    def recast(self, vote: tuple | None) -> None:
-        """Of a refused vote, once; a recast that is refused too stands for a platform that is away."""
+    def recast(self, vote: tuple | None, full: bool) -> None:
+        """Of a refused vote: soon where too many came at once, and once where it may be the platform's fault; a
+        recast that fails too stands for a platform that is away."""
         if vote and vote == self.vote:
-            wait = self.some(VOTE_SPREAD if self.may_recast else self.known["vote_life"] // 2)
-            self.may_recast = False
+            wait = self.some(VOTE_SPREAD if full or self.may_recast else self.known["vote_life"] // 2)
+            self.may_recast = full and self.may_recast
             self.host.at(self.host.now + wait, lambda at=self.cast_at: self.cast_at == at and self.cast(vote))
 
     # ---- invocations: holding, dispatching, the final answer ----------------------------------------------
