A member whose directory is an older copy of itself is told so when it starts, and ends

Need: a directory put back from an older copy has forgotten for whom it voted; it could make two leaders of one term. Checked first: a count of starts alone does not tell, as the first start of the copy counts what the others know already. Change: each member remembers of the others the term they spoke in and how far their log went, and the starts on disk; one that starts asks, and does not vote before all have answered or twice the election time has passed. terms.py: Here, Known.

--- a/cartweir/controller/host.py
+++ b/cartweir/controller/host.py
@@ -16,7 +16,7 @@
 from .directory import fleet_of
 from .peers import Peer
 from .settings import ControllerDocument
-from .store import Store
+from .store import Store, StoreError
 
 Note = Callable[..., None]
 LONGEST = 50_000            # microseconds between two looks at the clock
@@ -119,6 +119,10 @@
             for do in inbox:
                 do()
             member.tick(monotonic())
+            if member.older:
+                self.on_fault(StoreError(f"{self.store.folder}: is older than the one this member used last ({member.older}): put "
+                                         "the newer one back, or join anew with an empty directory"))
+                return
             ready = member.take()
             if ready.saves:
                 try:
--- a/cartweir/controller/store.py
+++ b/cartweir/controller/store.py
@@ -23,7 +23,7 @@
 import msgpack
 import xxhash
 
-from ..fleet.terms import Entry, Kept, Save, Shot, Snapshot, Vote, Write
+from ..fleet.terms import Boot, Entry, Kept, Save, Shot, Snapshot, Vote, Write
 
 HEAD = struct.Struct("<IQ")
 SYNCED = struct.Struct("<8sQ")           # the log file's own bytes, and how much of it is known to be on disk
@@ -45,6 +45,8 @@
             return ["vote", term, candidate]
         case Write(entry):
             return ["entry", *entry]
+        case Boot():
+            return ["boot", *save]
         case Shot(snapshot, keeps):
             return ["shot", list(snapshot), keeps]
 
@@ -53,6 +55,8 @@
     match parts:
         case ["vote", term, candidate]:
             return Vote(term, candidate)
+        case ["boot", name, mark, number]:
+            return Boot(name, mark, number)
         case ["entry", index, term, kind, data]:
             return Write(Entry(index, term, kind, data))
         case ["shot", snapshot, keeps]:
@@ -205,7 +209,8 @@
         kept = self.kept
         self._own = os.urandom(OWN)
         self._whole("log", self._own + frame(OWN, [
-            Shot(kept.snapshot, False), Vote(kept.term, kept.candidate), *map(Write, kept.entries)]))
+            Shot(kept.snapshot, False), Vote(kept.term, kept.candidate), *map(Write, kept.entries),
+            *(Boot(name, *boot) for name, boot in kept.boots.items())]))
         os.close(self._file)
         self._file = os.open(self.path, os.O_RDWR)
         self.size = os.lseek(self._file, 0, os.SEEK_END)
--- a/cartweir/controller/words.py
+++ b/cartweir/controller/words.py
@@ -4,9 +4,9 @@
 import msgpack
 
 from ..fleet import terms
-from ..fleet.terms import Append, Appended, Ask, Entry, Given, Install, Lead, Message, Snapshot
+from ..fleet.terms import Append, Appended, Ask, Entry, Given, Here, Install, Known, Lead, Message, Snapshot
 
-KINDS = {kind.__name__: kind for kind in (Ask, Given, Append, Appended, Install, Lead)}
+KINDS = {kind.__name__: kind for kind in (Ask, Given, Append, Appended, Install, Lead, Here, Known)}
 
 
 class BadWord(ValueError):
@@ -28,8 +28,8 @@
                 raise BadWord("an entry of no known kind")
         elif isinstance(message, Install):
             message = message._replace(snapshot=Snapshot(*message.snapshot))
-        if not isinstance(message.term, int):
-            raise BadWord("a term is no number")
+        if not isinstance(message[0], int):
+            raise BadWord("a term, or a count of starts, is no number")
         return message
     except BadWord:
         raise
--- a/cartweir/fleet/terms.py
+++ b/cartweir/fleet/terms.py
@@ -46,7 +46,15 @@
     keeps: bool                 # entries behind it stay; else the log begins anew with it
 
 
-Save = Vote | Write | Shot
+class Boot(NamedTuple):
+    """A start of a member, counted by itself and noted by the others: a directory that was put back from an older copy
+    counts less than they have heard of."""
+    name: str
+    mark: str
+    number: int
+
+
+Save = Vote | Write | Shot | Boot
 
 
 @dataclass
@@ -56,6 +64,7 @@
     candidate: str | None = None
     snapshot: Snapshot = Snapshot()
     entries: list[Entry] = field(default_factory=list)
+    boots: dict[str, tuple[str, int]] = field(default_factory=dict)     # by member: mark and number
 
     def add(self, save: Save) -> None:
         match save:
@@ -64,6 +73,8 @@
             case Write(entry):
                 del self.entries[max(0, entry.index - self.snapshot.index - 1):]
                 self.entries.append(entry)
+            case Boot(name, mark, number):
+                self.boots[name] = (mark, number)
             case Shot(snapshot, keeps):
                 behind = [e for e in self.entries if e.index > snapshot.index] if keeps else []
                 self.snapshot, self.entries = snapshot, behind
@@ -114,7 +125,19 @@
     term: int
 
 
-Message = Ask | Given | Append | Appended | Install | Lead
+class Here(NamedTuple):
+    """I have started, so many times."""
+    boot: int
+
+
+class Known(NamedTuple):
+    """What a member has heard of the one that started: so many starts, this term, a log that goes so far."""
+    boot: int
+    term: int
+    last: tuple                 # term and index of an entry that it has had
+
+
+Message = Ask | Given | Append | Appended | Install | Lead | Here | Known
 
 
 class Ready(NamedTuple):
@@ -160,6 +183,20 @@
         self._handing: tuple[str, int] | None = None    # to whom, until when
         self.members = self._members_now()
         self._set_alarm()
+        # a start begins with the others' word that this directory is not an older copy of itself. Guards against votes
+        # and entries that the copy has forgotten; those that don't answer in time are asked on, and may end it later
+        self.boots = dict(kept.boots)
+        self.boot = self.boots.get(me, (mark, 0))[1] + 1
+        self.boots[me] = (mark, self.boot)
+        self.older = ""                     # what is known elsewhere and not here: this directory must not be used
+        self._told: dict[str, tuple[str, int, tuple]] = {}      # by member: mark, term, end of its log, as it told
+        self._saves.append(Boot(me, mark, self.boot))
+        self._unheard = set(self.members) - {me}
+        self._patience = now + 2 * timing.election
+        self._say_here()
+
+    def _say_here(self) -> None:
+        self._sends += [(name, Here(self.boot)) for name in sorted(self._unheard & set(self.members))]
 
     # ---- the log ----
     @property
@@ -196,7 +233,9 @@
 
     def _may_vote(self) -> bool:
         """Not with a directory that the members do not know: what was promised in the lost one is not known here."""
-        return self.me in self.members and self.members[self.me][0] == self.mark and self.members[self.me][2]
+        known = not self._unheard or self.now >= self._patience
+        return known and not self.older and self.me in self.members and self.members[self.me][0] == self.mark and (
+            self.members[self.me][2])
 
     # ---- time ----
     def _set_alarm(self) -> None:
@@ -225,6 +264,8 @@
                 self._round()
         elif self.now >= self.alarm:
             self._set_alarm()
+            if self._unheard:
+                self._say_here()
             if self._may_vote():
                 self._stand(trial=True)
         if self._handing and self.now >= self._handing[1]:
@@ -426,20 +467,50 @@
             self.members = self._members_now()
         self._sends.append((sender, Appended(self.term, True, snapshot.index, said.turn)))
 
+    # ---- starts ----
+    def _note(self, sender: str, mark: str, term: int, last: tuple = (0, 0)) -> None:
+        """A member's term never falls, nor does the end of its log, by term and index: what is overwritten is by a later
+        term. So a directory that has less than its member told is an older copy."""
+        known, told, end = self._told.get(sender, (mark, 0, (0, 0)))
+        self._told[sender] = (mark, max(told, term), max(end, last)) if known == mark else (mark, term, last)
+
+    def _on_start(self, sender: str, mark: str, said: Here | Known) -> None:
+        if isinstance(said, Known):
+            self._unheard.discard(sender)
+            have = (self.boot, self.term, (self.term_at(self.last), self.last))
+            for name, theirs, ours in zip(("start", "term", "log up to"), said, have):
+                if (tuple(theirs) if name == "log up to" else theirs) > ours:
+                    self.older = f"{sender} knows of {name} {theirs}, here it is {ours}"
+            return
+        noted, number = self.boots.get(sender, (mark, 0))
+        if noted != mark or said.boot > number:
+            self.boots[sender], number = (mark, said.boot), said.boot
+            self._saves.append(Boot(sender, mark, said.boot))
+        known, term, last = self._told.get(sender, (mark, 0, (0, 0)))
+        self._sends.append((sender, Known(number, *((term, last) if known == mark else (0, (0, 0))))))
+
     # ---- what comes ----
     def heard(self, now: int, sender: str, mark: str, message: Message) -> None:
         """`mark` of the sender's directory: one that the members do not know under that name counts for nothing."""
         self.now = max(self.now, now)
         if sender in self.members and self.members[sender][0] != mark:
             return
+        if isinstance(message, (Here, Known)):
+            self._on_start(sender, mark, message)
+            return
         if isinstance(message, Ask):
+            self._note(sender, mark, message.term - message.trial, (message.last_term, message.last_index))
             if sender in self.members and self.members[sender][2] or not self.members:
                 self._on_ask(sender, message)
             return
         if isinstance(message, Given):
+            self._note(sender, mark, message.term - (message.trial and message.yes))
             if sender in self.members:
                 self._on_given(sender, message)
             return
+        if isinstance(message, Appended) and self.role == LEADER and message.term == self.term:
+            term = self.term_at(message.index) if message.yes else None
+            self._note(sender, mark, message.term, (term, message.index) if term is not None else (0, 0))
         if message.term < self.term:
             if isinstance(message, (Append, Install)):      # tells an old leader of the term of now
                 self._sends.append((sender, Appended(self.term, False, self.last + 1, message.turn)))
--- a/cartweir/model/cluster.py
+++ b/cartweir/model/cluster.py
@@ -2,6 +2,7 @@
 saw, and from comparing what members decided, never from what an owner says of itself."""
 from __future__ import annotations
 
+import copy
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -136,19 +137,22 @@
         world = cluster.world
         self.clock = Clock(world, world.chance.randrange(10**9), world.chance.uniform(0.95, 1.05))
         self.life = 0
+        self.retired = False
         self.up = False
         self.paused = False
         self.start()
 
     # ---- life ----
     def start(self) -> None:
+        if self.retired:
+            return
         shape, chance = self.cluster.shape, random.Random(self.cluster.world.chance.getrandbits(32))
         kept = self.disk.kept
         if shape.broken == "forgets-vote":
             kept.candidate = None
         self.life += 1
         self.up, self.busy, self.inbox = True, False, []
-        self.member = Member(self.name, self.name, Kept(kept.term, kept.candidate, kept.snapshot, list(kept.entries)),
+        self.member = Member(self.name, self.name, copy.deepcopy(kept),
                              shape.timing, chance, self.clock.mono())
         self.fleet = fleet_of(self.cluster.plan, shape.broken)
         self.restored = 0
@@ -180,6 +184,10 @@
         for do in inbox:
             do()
         member = self.member
+        if member.older:                    # an older copy of its own directory: it ends, and stays away
+            self.crash()
+            self.retired = True
+            return
         if member.role == LEADER:
             self.cluster.leads(self.name, member.term)
         ready = member.take()
@@ -369,6 +377,7 @@
         self.target, self.machines = Target(), Fence()
         self.nodes: dict[str, Node] = {}
         self.spiteful = shape.faults > 0
+        self._copy: Kept | None = None
         for name in names:
             kept = Kept(snapshot=Snapshot(0, 0, members, b""))
             self.nodes[name] = Node(self, name, Disk(self.world, kept, shape.broken != "no-fsync"))
@@ -439,7 +448,7 @@
         node = chance.choice(list(self.nodes.values()))
         places = [*self.nodes, *(a.name for a in self.agents), "machines", "target"]
         kind = chance.choice(("kill", "kill", "stop", "stop", "part", "part", "one-way", "hold", "slow-disk", "slow-net", "loss",
-                              "jump", "all", "agent"))
+                              "jump", "all", "agent", "put-back"))
         self.history.counts[kind] += 1
         span = chance.choice((50_000, 300_000, 1_000_000, 3_000_000))
         match kind:
@@ -482,6 +491,17 @@
                     world.after(chance.randrange(1, span), lambda each=each: each.up or each.start())
             case "agent":
                 chance.choice(self.agents).restart()
+            case "put-back" if not self._copy and self.shape.members > 2:
+                # once a history, while the others are there to know better; what they don't know is not promised
+                self._copy = copy.deepcopy(node.disk.kept)
+
+                def put_back() -> None:
+                    others = [n for n in self.nodes.values() if n is not node]
+                    if node.up and all(n.up and not n.paused for n in others) and not self.net.cut and not self.net.held:
+                        node.crash()
+                        node.disk.kept = self._copy
+                        world.after(span, lambda: node.up or node.start())
+                world.after(span, put_back)
 
     def _clear(self) -> None:
         self.net.loss = self.net.double = 0.0
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -203,6 +203,23 @@
     await rig.until(lambda s: s["name"] == copied and released(2)(s))
 
 
+@rigged()
+async def test_a_directory_put_back_from_an_older_copy_is_not_used(rig, owner):
+    back = other_than(rig, owner)
+    rig.signal(back, signal.SIGSTOP)
+    shutil.copytree(rig.folder / f"dir-{back}", rig.folder / "older")
+    rig.signal(back, signal.SIGCONT)
+    assert await rig.offer(2)
+    await rig.until(lambda s: s["name"] == back and stage_is(2, 1)(s))
+    await rig.kill(back)
+    shutil.rmtree(rig.folder / f"dir-{back}")
+    shutil.copytree(rig.folder / "older", rig.folder / f"dir-{back}")
+    await rig.run(back)
+    assert await rig.processes[back].wait() == 1
+    assert "is older than the one this member used last" in (rig.folder / f"{back}.log").read_text()
+    await rig.until(released(2))
+
+
 @rigged()
 async def test_hand_over_changes_the_owner_thrice_within_a_stage(rig, owner):
     for agent in rig.agents:
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -2,6 +2,7 @@
 faults put in on purpose are found."""
 from __future__ import annotations
 
+import copy
 import random
 
 import pytest
@@ -37,12 +38,14 @@
     def __init__(self, names="abc"):
         self.now = 0
         self.members = {name: [name, f"{name}:1", True] for name in names}
+        self.kept = {name: Kept(snapshot=Snapshot(0, 0, self.members, b"")) for name in names}
         self.nodes = {name: self.make(name) for name in names}
         self.cut: set[str] = set()
 
     def make(self, name, kept=None, mark=None):
-        kept = kept or Kept(snapshot=Snapshot(0, 0, self.members, b""))
-        return Member(name, mark or name, kept, Timing(), random.Random(name), self.now)
+        if kept is not None:
+            self.kept[name] = kept
+        return Member(name, mark or name, copy.deepcopy(self.kept[name]), Timing(), random.Random(name), self.now)
 
     def settle(self):
         moved = True
@@ -50,6 +53,8 @@
             moved = False
             for name, node in list(self.nodes.items()):
                 ready = node.take()
+                for save in ready.saves:
+                    self.kept[name].add(save)
                 if ready.saves:
                     node.saved()
                 for to, message in ready.sends:
@@ -153,3 +158,42 @@
     trio.cut = set()
     trio.run(1_000_000)
     assert trio.nodes[away].snapshot.state == b"all of it" and trio.nodes[away].commit == node.commit
+
+
+@pytest.mark.parametrize("asks", [True, False])
+def test_a_directory_put_back_from_a_copy_does_not_vote_twice_in_a_term(asks):
+    """c has voted for a; put back from a copy that does not know, it makes b leader of the same term if it asks nobody."""
+    trio = Trio()
+    trio.settle()
+    old = copy.deepcopy(trio.kept["c"])
+    trio.cut, trio.nodes["c"].alarm = {"b"}, 10**12
+    trio.run(1_500_000)
+    assert trio.leader == "a" and trio.kept["c"].candidate == "a" and trio.nodes["a"].term == 1
+    trio.nodes["c"] = back = trio.make("c", old)
+    if not asks:
+        back._unheard.clear()
+        back.take()
+    trio.settle()
+    assert ("a knows of" in back.older) is asks
+    trio.cut, back.alarm = {"a"}, 10**12        # now b alone can ask it
+    trio.run(3_000_000)
+    leads = trio.nodes["b"].role == LEADER and trio.nodes["b"].term == 1
+    assert leads is not asks
+
+
+def test_a_directory_of_now_is_taken_whatever_was_overwritten():
+    """What an old leader had got in and a new one overwrote is not missed."""
+    trio = Trio()
+    trio.run(2_000_000)
+    old = trio.leader
+    trio.cut = {old}
+    for _ in range(5):
+        trio.nodes[old].propose(b"nobody else has it")
+    trio.run(3_000_000)
+    trio.cut = set()
+    trio.run(1_000_000)
+    for name in "abc":
+        trio.nodes[name] = trio.make(name)
+        trio.run(1_500_000)
+        assert not trio.nodes[name].older
+    assert trio.leader
