The question whether a directory is an older copy is asked before anything else is said

Change: what the directory held at the start is compared (Member._had), and until a member has answered nothing but the question is said to it, so that it answers by what it heard before; the question is asked again with each heartbeat, until twice the election time has passed. The rule that those who are away are asked later on is taken back: by then they may have heard words of the new start.

--- a/cartweir/fleet/terms.py
+++ b/cartweir/fleet/terms.py
@@ -184,19 +184,17 @@
         self.members = self._members_now()
         self._set_alarm()
         # a start begins with the others' word that this directory is not an older copy of itself. Guards against votes
-        # and entries that the copy has forgotten; those that don't answer in time are asked on, and may end it later
+        # and entries that the copy has forgotten. Nothing else is said to one that has not answered yet, so that it
+        # answers by what it heard before the start; those that don't answer in time are not asked any more
         self.boots = dict(kept.boots)
         self.boot = self.boots.get(me, (mark, 0))[1] + 1
         self.boots[me] = (mark, self.boot)
         self.older = ""                     # what is known elsewhere and not here: this directory must not be used
+        self._had = (self.boot, self.term, (self.term_at(self.last), self.last))
         self._told: dict[str, tuple[str, int, tuple]] = {}      # by member: mark, term, end of its log, as it told
         self._saves.append(Boot(me, mark, self.boot))
         self._unheard = set(self.members) - {me}
-        self._patience = now + 2 * timing.election
-        self._say_here()
-
-    def _say_here(self) -> None:
-        self._sends += [(name, Here(self.boot)) for name in sorted(self._unheard & set(self.members))]
+        self._patience, self._here_at = now + 2 * timing.election, now
 
     # ---- the log ----
     @property
@@ -233,8 +231,7 @@
 
     def _may_vote(self) -> bool:
         """Not with a directory that the members do not know: what was promised in the lost one is not known here."""
-        known = not self._unheard or self.now >= self._patience
-        return known and not self.older and self.me in self.members and self.members[self.me][0] == self.mark and (
+        return not self._unheard and not self.older and self.me in self.members and self.members[self.me][0] == self.mark and (
             self.members[self.me][2])
 
     # ---- time ----
@@ -257,6 +254,11 @@
 
     def tick(self, now: int) -> None:
         self.now = max(self.now, now)
+        if self.now >= self._patience:
+            self._unheard.clear()
+        elif self._unheard and self.now >= self._here_at:
+            self._here_at = self.now + self.timing.heartbeat
+            self._sends += [(name, Here(self.boot)) for name in sorted(self._unheard)]
         if self.role == LEADER:
             if self.now >= self.lease:      # cut off from a majority: another may have been elected
                 self._follow(self.term, None)
@@ -264,8 +266,6 @@
                 self._round()
         elif self.now >= self.alarm:
             self._set_alarm()
-            if self._unheard:
-                self._say_here()
             if self._may_vote():
                 self._stand(trial=True)
         if self._handing and self.now >= self._handing[1]:
@@ -476,9 +476,10 @@
 
     def _on_start(self, sender: str, mark: str, said: Here | Known) -> None:
         if isinstance(said, Known):
+            if sender not in self._unheard:
+                return
             self._unheard.discard(sender)
-            have = (self.boot, self.term, (self.term_at(self.last), self.last))
-            for name, theirs, ours in zip(("start", "term", "log up to"), said, have):
+            for name, theirs, ours in zip(("start", "term", "log up to"), said, self._had):
                 if (tuple(theirs) if name == "log up to" else theirs) > ours:
                     self.older = f"{sender} knows of {name} {theirs}, here it is {ours}"
             return
@@ -529,7 +530,8 @@
 
     # ---- the host's side ----
     def take(self) -> Ready:
-        ready, self._saves, self._sends = Ready(self._saves, self._sends), [], []
+        sends = [(to, said) for to, said in self._sends if to not in self._unheard or isinstance(said, (Here, Known))]
+        ready, self._saves, self._sends = Ready(self._saves, sends), [], []
         return ready
 
     def saved(self) -> None:
