The demo runs on three controllers, whose owner is killed, stopped and cut off

The audit leaves out a word that a newer one has overtaken, as an agent that follows it breaks the newer one's rule. benchmarks/controllers.py (./dev controllers) measures the time without an owner.

--- /dev/null
+++ b/benchmarks/controllers.py
@@ -0,0 +1,97 @@
+"""How long a fleet is without an owner, and what a decision costs: real controllers on loopback, faults between them.
+
+    ./dev controllers [--events 20] [--agents 24]
+
+Time without an owner runs from the fault until a light agent has followed a word of a new epoch; as a multiple of the
+election time-out, since that is what it hangs on. Decisions a second are ballots told ok, beside one at a time."""
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from cartweir.faults.rig import Rig, Scale
+from cartweir.proto import agent_pb2 as pb
+from cartweir.wire.calls import CallError, Channel
+
+CELLS = ("kill", "stop", "apart")
+
+
+async def event(rig: Rig, kind: str) -> float:
+    """Seconds from the fault at the owner to the first agent that follows a later epoch."""
+    status = await rig.until(lambda s: s["role"] == "leader" and s["duties"]["release"]["owner"] and all(
+        row["answers"] for row in s["members"].values()))
+    owner, epoch = status["duties"]["release"]["owner"], status["duties"]["release"]["epoch"]
+    seen, began = len(rig.followed), time.monotonic()
+    match kind:
+        case "kill":
+            await rig.kill(owner)
+        case "stop":
+            rig.signal(owner, signal.SIGSTOP)
+        case "apart":
+            rig.apart(owner)
+    while not any(row["epoch"] > epoch for row in rig.followed[seen:]):
+        await asyncio.sleep(0.002)
+        if time.monotonic() - began > 30:
+            raise TimeoutError(f"no new epoch within 30 s of {kind} at {owner}")
+    took = time.monotonic() - began
+    match kind:
+        case "kill":
+            await rig.run(owner)
+        case "stop":
+            rig.signal(owner, signal.SIGCONT)
+        case "apart":
+            rig.apart(owner, "pass")
+    return took
+
+
+async def decisions(rig: Rig, at_once: int, seconds: float) -> float:
+    """Ballots told ok a second, so many under way at a time, all through one controller."""
+    channel, done, end = Channel(rig.listen[await rig.owner()], 500_000), 0, time.monotonic() + seconds
+
+    async def one(number: int) -> None:
+        nonlocal done
+        serial = number * 1_000_000
+        while time.monotonic() < end:
+            serial += 1
+            ballot = pb.Ballot(agent=1000 + number, build=1, stage=2, choice=pb.NO_VOTE, serial=serial)
+            try:
+                answer = await channel.unary("/cartweir.v1.Conveyor/Vote", ballot.SerializeToString(), 2_000_000)
+                done += pb.Verdict.FromString(answer.message).answer != pb.Verdict.ERROR
+            except CallError:
+                await asyncio.sleep(0.05)
+
+    await asyncio.gather(*map(one, range(at_once)))
+    channel.close()
+    return done / seconds
+
+
+async def run(events: int, agents: int, controllers: int) -> None:
+    with tempfile.TemporaryDirectory(prefix="cartweir-") as folder:
+        rig = Rig(Path(folder) / "rig", Scale(controllers, agents))
+        await rig.start()
+        try:
+            print(f"{controllers} controllers, {agents} light agents, election time-out {rig.scale.election} ms")
+            await rig.owner()
+            alone, many = await decisions(rig, 1, 3), await decisions(rig, 64, 3)
+            print(f"decisions: 64 at once are {many / alone:.1f} times as many a second as one at a time")
+            for kind in CELLS:
+                took = sorted([await event(rig, kind) for _ in range(events)])
+                times = [t * 1000 / rig.scale.election for t in (took[len(took) // 2], took[int(len(took) * 0.9)], took[-1])]
+                print(f"{kind}: {events} times, without an owner for {times[0]:.1f} election time-outs (median), "
+                      f"{times[1]:.1f} (nine in ten), {times[2]:.1f} (most)", flush=True)
+        finally:
+            verdict = await rig.end()
+        print(verdict.text())
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--events", type=int, default=20)
+    parser.add_argument("--agents", type=int, default=24)
+    parser.add_argument("--controllers", type=int, default=3)
+    given = parser.parse_args()
+    asyncio.run(run(given.events, given.agents, given.controllers))
--- a/cartweir/audit/rules.py
+++ b/cartweir/audit/rules.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from ..agent.names import AGENT_HEADER, ANSWER, DISPATCH_HEADER, KEY, WORK
+from ..fleet.epochs import Fence, Stamp
 from ..proto import agent_pb2 as pb
 from ..settings.schema import AgentDocument
 from ..standin.clients import TRY
@@ -88,6 +89,7 @@
         self.operations = {path: name for name, o in document.operations.items() for path in o.methods}
         self.entries: dict[str, list[tuple[int, pb.Entry]]] = defaultdict(list)     # by appliance
         self.words: list[tuple[int, pb.Stage]] = []
+        self.fence = Fence(before.fence.seen if before is not None and document.agent.stage_file else Stamp())
         if before is not None and document.agent.list_file:
             self.entries.update({ident: told[-1:] for ident, told in before.entries.items()})
         self._news()
@@ -124,6 +126,8 @@
                     if verdict.answer == pb.Verdict.OK:
                         self.words.append((when, verdict.stage))
         self.words.sort(key=lambda w: w[0])
+        # an old owner's word is not news: an agent that follows it breaks the rule that the newer one sets
+        self.words = [(when, stage) for when, stage in self.words if self.fence.take(Stamp(stage.epoch, stage.index))]
 
     def _listing(self, when: int, listing: pb.Listing) -> None:
         named = {entry.appliance for entry in listing.entries}
--- a/cartweir/cli/__init__.py
+++ b/cartweir/cli/__init__.py
@@ -99,19 +99,24 @@
 def demo(seed: Annotated[int, typer.Option(help="All chance of the day comes from it.")] = 1,
          seconds: Annotated[float, typer.Option(min=8, max=600, help="Length of the day.")] = 30.0,
          cores: Annotated[int, typer.Option(min=1, max=16, help="Carrying parts of each agent.")] = 1,
+         controllers: Annotated[int, typer.Option(min=0, max=5, help="Controllers, whose owner is killed, stopped and cut off; "
+                                                  "0: a stand-in conveyor.")] = 3,
          as_json: Annotated[bool, typer.Option("--json", help="Print the result as JSON.")] = False,
          keep: Annotated[Optional[Path], typer.Option(help="Keep logs, settings and taps in this folder.")] = None,
          ) -> None:
     """Play a scripted bad day on loopback: 9 appliances, 3 agents, clients, and what goes wrong."""
     import tempfile
 
+    from ..faults.day import ControlledDay
     from ..standin.day import Day
 
     with tempfile.TemporaryDirectory(prefix="cartweir-") as scratch:
         folder = keep or Path(scratch)
         if keep is not None and any(keep.glob("*.tap")):
             fail(f"--keep {keep}: holds an earlier run: a new or empty folder is due")
-        day = Day(folder, seed, seconds, say=(lambda line: None) if as_json else lambda line: print(line, flush=True), cores=cores)
+        say = (lambda line: None) if as_json else lambda line: print(line, flush=True)
+        day = ControlledDay(folder, seed, seconds, say, cores=cores, controllers=controllers) if controllers else (
+            Day(folder, seed, seconds, say, cores=cores))
         try:
             report = asyncio.run(day.run())
         except OSError as error:
--- a/cartweir/faults/rig.py
+++ b/cartweir/faults/rig.py
@@ -39,6 +39,19 @@
 {members}
 [routes]
 {routes}
+{release}
+[waves]
+bake = {bake}ms
+grace = {grace}ms
+repeat = 1s
+machines = {machines}
+{steps}
+[log]
+format = json
+"""
+
+
+RELEASE = """\
 [release]
 control = share
 shares = 0.1, 0.35, 1
@@ -46,20 +59,13 @@
 on_votes = {on_votes}
 back_votes = {on_votes}
 vote_life = 5s
-vote_allowance = 2000
-[waves]
-bake = 300ms
-grace = 500ms
-repeat = 1s
-machines = {machines}
+vote_allowance = 2000"""
+STEPS = """\
 [steps owners]
-names = {steps}
+names = {names}
 target = {target}
 build = 2
-before = 2
-[log]
-format = json
-"""
+before = 2"""
 
 
 def free_ports(count: int) -> list[str]:
@@ -81,13 +87,19 @@
     agents: int = 12
     heartbeat: int = 60
     election: int = 300
+    bake: int = 300
+    grace: int = 500
     steps: tuple = ("add", "copy", "drop", "check")
 
 
 class Rig:
-    """Raises OSError where ports or the folder cannot be had. unfenced: receivers that take all, a fault put in."""
+    """Raises OSError where ports or the folder cannot be had. unfenced: receivers that take all, a fault put in. release:
+    the [release] section, as text. receivers: their address where they run elsewhere."""
 
-    def __init__(self, folder: Path, scale: Scale, seed: int = 1, unfenced: bool = False) -> None:
+    def __init__(self, folder: Path, scale: Scale, seed: int = 1, unfenced: bool = False, release: str = "",
+                 receivers: str | None = None) -> None:
+        self.release = release or RELEASE.format(on_votes=max(1, scale.agents // 2))
+        self.receivers = receivers
         self.folder, self.scale, self.seed, self.unfenced = folder, scale, seed, unfenced
         self.names = [chr(ord("a") + i) for i in range(scale.controllers)]
         self.chance = random.Random(seed)
@@ -97,6 +109,7 @@
         self.facts: list[dict[str, Any]] = []
         self.followed: list[dict[str, Any]] = []
         self.told_ok: list[tuple] = []
+        self.machines = 10                      # of the fleet, as builds are offered to it
         self.began = monotonic()
         self.counts: Counter = Counter()
 
@@ -111,6 +124,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         scale, names = self.scale, self.names
         listen = dict(zip([*names, "receivers"], free_ports(len(names) + 1)))
+        listen["receivers"] = self.receivers or listen["receivers"]
         self.listen, self.record = listen, self.folder / "receivers.jsonl"
         pairs = [(f"{a}-{b}", "127.0.0.1:0", listen[b]) for a in names for b in names if a != b]
         pairs += [(f"{a}-{what}", "127.0.0.1:0", listen["receivers"]) for a in names for what in ("machines", "steps")]
@@ -123,12 +137,12 @@
                 name=name, listen=listen[name], folder=self.folder, heartbeat=scale.heartbeat, election=scale.election,
                 absent=3 * scale.election, members="\n".join(f"{n} = {listen[n]}" for n in names),
                 routes="\n".join(f"{n} = {ways[f'{name}-{n}']}" for n in names if n != name),
-                on_votes=max(1, scale.agents // 2), machines=ways[f"{name}-machines"], target=ways[f"{name}-steps"],
-                steps=", ".join(scale.steps)))
+                release=self.release, bake=scale.bake, grace=scale.grace, machines=ways[f"{name}-machines"],
+                steps=STEPS.format(names=", ".join(scale.steps), target=ways[f"{name}-steps"]) if scale.steps else ""))
             self.documents[name] = read_controller(path)
             found(self.documents[name])
-        await asyncio.gather(self.run("receivers"), *map(self.run, names))
-        addresses = [ways[f"agents-{a}"] for a in names]
+        await asyncio.gather(*map(self.run, names if self.receivers else ["receivers", *names]))
+        self.addresses = addresses = [ways[f"agents-{a}"] for a in names]
         self.agents = [LightAgent(number, addresses, self.say, seed=self.seed, stage_file=self.folder / f"agent{number}.stage")
                        for number in range(scale.agents)]
 
@@ -173,7 +187,7 @@
 
     async def offer(self, build: int) -> bool:
         for name in self.names:
-            if self.alive(name) and (answer := await self.ask(name, ask="offer", build=build, machines=10)) and answer.get("taken"):
+            if self.alive(name) and (answer := await self.ask(name, ask="offer", build=build, machines=self.machines)) and answer.get("taken"):
                 return True
         return False
 
--- a/cartweir/standin/day.py
+++ b/cartweir/standin/day.py
@@ -34,6 +34,7 @@
 tick = 25ms
 cores = {cores}
 list_file = {folder}/agent{me}.list
+stage_file = {folder}/agent{me}.stage
 [registry]
 address = {registry}
 [conveyor]
@@ -131,16 +132,11 @@
         self.fleet.on_wrong = self._wrong
         for _ in range(self.count):
             self.fleet.launch(1, warm=True)
-        spare = Registry()                      # its port is the conveyor's
-        conveyor = spare.listen_on("127.0.0.1:0")
-        spare.shut()
+        conveyor = await self._make_conveyor(tap)
         for me in range(self.agents):
             text = self.settings_text(me=me, zone=self.zones[me % len(self.zones)], seed=self.seed * 100 + me,
                                       folder=self.folder, registry=registry, conveyor=conveyor)
             (self.folder / f"agent{me}.ini").write_text(text)
-        release = read_agent(self.folder / "agent0.ini").release
-        self.conveyor = Conveyor(self.fleet, release, self.agents, self.note, tap=tap)
-        self.conveyor.listen_on(conveyor)
         try:
             await asyncio.gather(*(self._start_agent(me) for me in range(self.agents)))
             await self._play()
@@ -151,6 +147,14 @@
             self._facts.close()
         return audit(self.folder)
 
+    async def _make_conveyor(self, tap: FileTap) -> str:
+        """Whom agents hear of builds from, and vote to: its address, or several."""
+        text = self.settings_text(me=0, zone=self.zones[0], seed=0, folder=self.folder, registry="127.0.0.1:9", conveyor="127.0.0.1:9")
+        (self.folder / "agent0.ini").write_text(text)
+        release = read_agent(self.folder / "agent0.ini").release
+        self.conveyor = Conveyor(self.fleet, release, self.agents, self.note, tap=tap)
+        return self.conveyor.listen_on("127.0.0.1:0")
+
     async def _start_agent(self, me: int) -> None:
         """A process of the real program; the second life of one listens where the first did."""
         life = self._lives[me] = self._lives.get(me, 0) + 1
--- a/cartweir/standin/receivers.py
+++ b/cartweir/standin/receivers.py
@@ -22,7 +22,8 @@
 
 
 class Receivers(Service):
-    """fenced=False is a fault put in on purpose: it takes whatever comes. boot: microseconds until machines run."""
+    """fenced=False is a fault put in on purpose: it takes whatever comes. boot: microseconds until machines run.
+    fleet: whose machines are meant, or none: want(machines by build), and runs(build), whether all wanted of it do."""
 
     def __init__(self, path: Path, boot: int = 200_000, fenced: bool = True, fleet: Any = None) -> None:
         super().__init__()
@@ -73,7 +74,8 @@
             self._wanted = (stamp, dict(wanted.machines), wanted.build, wanted.stage)
             if self.fleet is not None:
                 self.fleet.want(dict(wanted.machines))
-        running = taken and monotonic() - self._since >= self.boot
+        running = taken and (self.fleet.runs(wanted.build) if self.fleet is not None else (
+            monotonic() - self._since >= self.boot))
         return pb.Standing(taken=taken, running=running, seen=pb.Stamp(
             duty=wanted.stamp.duty, epoch=self.fence.seen.epoch, index=self.fence.seen.index)).SerializeToString()
 
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cartweir.faults.day import ControlledDay
 from cartweir.settings.ini import BadInput, read_agent
 from cartweir.standin.day import Day
 from cartweir.standin.replay import Replay
@@ -69,3 +70,16 @@
     with pytest.raises(BadInput) as error:
         Replay(file, tmp_path, 1, print)
     assert "no day file" in str(error.value) and "is due" in str(error.value)
+
+
+def test_a_short_bad_day_on_three_controllers_keeps_the_rules(tmp_path):
+    """The release's owner is killed, stopped and cut off; the verdict on the agents is the audit's, from their sockets."""
+    said = []
+    report = asyncio.run(ControlledDay(tmp_path, 4, 14.0, said.append, rate=60.0).run())
+    assert report.breaches == [], report.text()
+    assert sum("fault who controller" in line for line in said) == 3
+    rows = [json.loads(line) for line in (tmp_path / "receivers.jsonl").read_text().splitlines()]
+    taken = [(row["epoch"], row["index"]) for row in rows if row["taken"]]
+    assert taken == sorted(taken) and len({epoch for epoch, _ in taken}) > 1
+    counts = report.table.values()
+    assert sum(c["succeeded"] for c in counts) > 0.7 * sum(c["taken"] for c in counts) > 300
