A connection that breaks as it is made no longer leaves a duty undone for good

Seen in a new test between processes (the owner's disk takes no more): steps stood at 'check' for 18 s although its target had done it. Cause: the call to a peer that was being killed got a stream that was closed already; Link.__init__ asked its socket, None, for a name (wire/link.py:140), and the AttributeError ended the task in Controller._carry_out before it forgot that the duty's effect was on its way, so that it was never told again. Ruled out: the target (its line stands in the record), the log (decided went on to 281), the route (steps 1 to 3 took it). Change: Channel._open tells a closed stream as UNAVAILABLE, never run; what is on its way is forgotten whatever became of it.

--- a/cartweir/controller/daemon.py
+++ b/cartweir/controller/daemon.py
@@ -173,11 +173,13 @@
         command["wall"] = time.time_ns() // 1000
 
         async def run() -> None:
-            answered, answer = await self.host.command(lambda: command, VOTE_TIME // 2) if command["do"] != "grant" else (
-                await self._grant(command))
-            if answered and command["do"] == "grant" and answer != LATE:
-                self.note("granted", duty=command["duty"], to=command["to"], epoch=answer, why=command["why"])
-            self._asked.discard(key)
+            try:
+                answered, answer = await self.host.command(lambda: command, VOTE_TIME // 2) if command["do"] != "grant" else (
+                    await self._grant(command))
+                if answered and command["do"] == "grant" and answer != LATE:
+                    self.note("granted", duty=command["duty"], to=command["to"], epoch=answer, why=command["why"])
+            finally:
+                self._asked.discard(key)
         spawn(run())
 
     async def _grant(self, command: dict[str, Any]) -> tuple[bool, Any]:
@@ -208,8 +210,8 @@
                 self.note("unreached", level="warning", duty=effect.duty, why=str(error))
             except DecodeError:
                 self.host.owner.answered(effect, False, monotonic())
-            await asyncio.sleep(AGAIN / 1e6)
-            del self._carrying[effect.duty]
+            finally:                        # whatever became of it, it is tried again
+                asyncio.get_running_loop().call_later(AGAIN / 1e6, self._carrying.pop, effect.duty, None)
         spawn(run())
 
     def _channel(self, address: str) -> Channel:
--- a/cartweir/wire/calls.py
+++ b/cartweir/wire/calls.py
@@ -110,6 +110,8 @@
             stream = await connect(*split_address(self.address), self.connect_timeout)
         except OSError as error:
             raise CallError(Status.UNAVAILABLE, f"{self.address}: {error.strerror or error}", True) from None
+        if stream.closed():             # broken by the other side before this turn
+            raise CallError(Status.UNAVAILABLE, f"{self.address}: broke as it was made", True)
         self._link = Link(stream, True, self.limits, self, self.tap)
         return self._link
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,11 +3,14 @@
 
 import asyncio
 import functools
+import socket
 
 import grpc
 import pytest
+from tornado.iostream import IOStream
 
 from cartweir.proto import agent_pb2 as pb
+from cartweir.wire.calls import CallError, Channel
 from peers import (ISSUE, ORDER, TILES, VIEW, Appliance, Process, answer, deaf, framed, garbage, head, large, nothing, rig, tail,
                    trailers_only)
 
@@ -457,3 +460,16 @@
             gc.garbage.clear()
             gc.enable()
         assert not found - {"LinkStream"}       # of connections that nobody took, not of calls
+
+
+@sockets
+async def test_a_connection_that_broke_as_it_was_made_is_an_answer_like_any_other(monkeypatch):
+    """Seen between controllers whose peer was killed: the caller's task ended with an error of ours and was never run again."""
+    async def broken(host, port, timeout):
+        stream = IOStream(socket.socket())
+        stream.close()
+        return stream
+    monkeypatch.setattr("cartweir.wire.calls.connect", broken)
+    with pytest.raises(CallError) as error:
+        await Channel("127.0.0.1:1", 100_000).unary("/a.B/C", b"", 100_000)
+    assert error.value.status == 14 and error.value.never_ran and "broke as it was made" in error.value.text
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import resource
 import shutil
 import signal
 import subprocess
@@ -220,6 +221,21 @@
     await rig.until(released(2))
 
 
+@rigged()
+async def test_a_disk_that_takes_no_more_ends_the_owner_and_loses_nothing(rig, owner):
+    size = (rig.folder / f"{owner}.log").stat().st_size + 3000          # which its own words must not reach before
+    resource.prlimit(rig.processes[owner].pid, resource.RLIMIT_FSIZE, (size, size))
+    rig.hurt(f"{owner}-machines", "hold")       # the stage stays where it is, and what agents vote on fills the log
+    assert await rig.offer(2)
+    assert await rig.processes[owner].wait() == 1
+    last = (rig.folder / f"{owner}.log").read_text().splitlines()[-1]
+    assert "is not on disk" in last and "File too large" in last
+    rig.hurt(f"{owner}-machines", "pass")
+    await rig.run(owner)
+    await rig.until(released(2))
+    await rig.until(lambda s: s["name"] == owner and released(2)(s))
+
+
 @rigged()
 async def test_hand_over_changes_the_owner_thrice_within_a_stage(rig, owner):
     for agent in rig.agents:
