--- a/tests/parts.py
+++ b/tests/parts.py
@@ -135,7 +135,7 @@
         old.members.clear()
         old.alarms.ring = lambda: None
         old._beat = lambda: None
-        for channel in (old.registry.channel, old.conveyor.channel):
+        for channel in (old.registry.channel, *old.conveyor.channels):
             channel.close()
         old.seat.listed = lambda *_: []
         old.seat.staged = lambda *_: None
