A ballot leaves time for the other controllers when one does not answer

Seen: one of the whole suite's runs timed out in the test of an owner that hears and is not heard. Cause: an agent that listens at such a controller sends its ballots there first and waited the whole vote_timeout (news.py, _voting), so that none of its tries ever reached another; with more than half of the agents there a stage stands for good. Change: each try waits an even part of what is left.

--- a/cartweir/agent/news.py
+++ b/cartweir/agent/news.py
@@ -282,7 +282,9 @@
                            serial=self.chance.getrandbits(62) + 1)
         end, tries, told = self.now() + self.vote_timeout, 0, None
         while True:
-            channel, left = self.channels[(self._at + tries) % len(self.channels)], end - self.now()
+            channel = self.channels[(self._at + tries) % len(self.channels)]
+            # an even part of what is left: one that hears and is not heard would take all of it, each time
+            left = (end - self.now()) // (len(self.channels) - tries)
             try:
                 answer = await channel.unary("/cartweir.v1.Conveyor/Vote", ballot.SerializeToString(), max(left, 1_000))
                 told = pb.Verdict.FromString(answer.message)
--- a/tests/test_controllers.py
+++ b/tests/test_controllers.py
@@ -13,7 +13,10 @@
 
 import pytest
 
+from cartweir.faults.light import LightAgent
 from cartweir.faults.rig import Rig, Scale, free_ports
+from cartweir.proto import agent_pb2 as pb
+from cartweir.wire.calls import Service
 
 ROOT = Path(__file__).parents[1]
 
@@ -309,6 +312,35 @@
     asyncio.run(asyncio.wait_for(play(), 60))
 
 
+@pytest.mark.parametrize("deaf_first", [True, False])
+def test_a_ballot_goes_on_to_a_controller_that_answers(deaf_first):
+    """Guards against agents whose controller hears the others and is not heard: it never answers a ballot."""
+    def office(answers):
+        service, ballots = Service(), []
+
+        async def news(request):
+            request.send(pb.Word(stage=pb.Stage(build=2, epoch=5, index=6, cap=0.1)).SerializeToString())
+
+        async def vote(request):
+            ballots.append(pb.Ballot.FromString(request.message).serial)
+            return pb.Verdict(stage=pb.Stage(build=2, epoch=5, index=6, cap=0.1)).SerializeToString() if answers else None
+        service.handlers.update({"/cartweir.v1.Conveyor/News": news, "/cartweir.v1.Conveyor/Vote": vote})
+        return service, ballots, service.listen_on("127.0.0.1:0")
+
+    async def play():
+        (deaf, unheard, first), (good, heard, second) = office(False), office(True)
+        said = []
+        agent = LightAgent(0, [first, second], lambda event, **facts: said.append(event))
+        agent.news._at = 0 if deaf_first else 1
+        while "vote" not in said:
+            await asyncio.sleep(0.01)
+        assert len(heard) == 1 and set(unheard) <= set(heard)       # the same ballot, under its number
+        agent.close()
+        deaf.shut()
+        good.shut()
+    asyncio.run(asyncio.wait_for(play(), 5))
+
+
 @pytest.mark.parametrize("change, says", [
     ("cluster = rig", "of cluster rig"), ("name = a", "of name a"), ("election = 300ms", "at least three heartbeats"),
     ("build = 2", "build: missing"), ("caps = 0.14", "caps")])
