Endings at the node's clients: slow readers, unread requests, clients that went unnoticed

Found by reading, each then forced on loopback within one turn of the loop.

Ruled out: half-closing the idle ones at a drain in place of closing them: a request that crosses would then be read and not answered, where the protocol has its client ask again only for what was not read.

Change: lingering begins once the kernel has taken all; whoever is closed is looked at once more; places outside come in before the listener closes; limits after SIGTERM end before the kill; clients of requests that waited are asked whether they are still there, by one look at their socket. Also: a dispatch given up while it waits for its connection leaves the queue (a later one was given up in its place); a connection that is given up while it is made is closed (it was held for as long as nobody answered).

--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -33,6 +33,9 @@
     stream = LinkStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * CHUNK)
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout / 1e6)
+    except asyncio.CancelledError:          # the loop would hold on to it for as long as nobody answers there
+        stream.close()
+        raise
     except StreamClosedError as error:
         raise error.real_error if isinstance(error.real_error, OSError) else OSError(
             errno.ECONNABORTED, "connection closed") from None
@@ -53,6 +56,8 @@
 class SocketOwner(Protocol):
     def on_data(self, data: bytes) -> None: ...
     def on_lost(self, why: str) -> None: ...
+    def on_sent(self) -> None:
+        """The kernel has taken what it had not taken at once."""
 
 
 class Socket:
@@ -98,6 +103,15 @@
             pass
         return False
 
+    def ended(self) -> bool:
+        """The other side has ended it, and all that it said before has been told."""
+        try:
+            return not self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def write(self, data: bytes) -> None:
         """Raises OSError where the kernel takes nothing any more."""
         if self._unsent:
@@ -121,6 +135,7 @@
             return
         if not self._unsent:
             self.loop.remove_writer(self._fd)
+            self.owner.on_sent()
 
     def finish(self) -> None:
         """Ends our sending, and goes on reading."""
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -25,10 +25,14 @@
 SILENT = 2_000 * MS         # a connection without a whole request by then is closed: a usual client asks at once
 SPARE = 2_000 * MS          # one that has been served may go after so long without another
 YOUNG = 100 * MS            # one that has not spoken yet is given so long in any case
+HALF = 500 * MS             # one with half a request is not made to go before, however short places are
 LINGER = 500 * MS           # for the other side to read why, while it is still sending
 MOST_LINGER = 256 * 1024
 SWEEP = 100 * MS
 LATE_COMERS = 600 * MS      # after the word to end, connections keep coming for a while
+CROWD = 20 * MS             # between looks at whoever still waits outside then
+LAST = 3_000 * MS, 600 * MS     # the end is forced so long after the word: the longest time limit, at most the first; and this
+HELD_UP = 20 * MS           # what has been read so long after it came may come from a client that has gone meanwhile
 _IDENT = re.compile(rb"[!-~]{1,128}")
 Note = Callable[..., None]
 
@@ -52,6 +56,14 @@
     def terminate(self) -> None:
         self._answer(500)
 
+    def gone(self) -> bool:
+        """Its client has gone, also where the loop has not had the time to tell."""
+        return self.client is None or self.client.socket.ended()
+
+    def leave(self) -> None:
+        if self.client is not None:
+            self.client.close()
+
     def _answer(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
         client, self.client = self.client, None
         if client is not None:
@@ -63,14 +75,15 @@
 class Client:
     """One connection."""
 
-    __slots__ = ("front", "socket", "reader", "call", "since", "served", "over", "stays", "drained")
+    __slots__ = ("front", "socket", "reader", "call", "since", "served", "asked", "over", "stays", "drained", "unsent")
 
     def __init__(self, front: Front, sock: socket.socket) -> None:
         self.front, self.reader = front, Requests()
         self.call: Call | None = None
-        self.since = front.clock.now()          # connected, last answered, or told why it ends
-        self.served = self.over = False         # over: only the other side's reading is awaited
-        self.stays, self.drained = True, 0
+        self.since = front.clock.now()          # connected, began to ask, last answered, or last took a part of its answer
+        self.served = self.asked = False        # asked: a whole request has come, and nothing has been said to it
+        self.over = False                       # only the other side's reading is awaited
+        self.stays, self.drained, self.unsent = True, 0, 0
         self.socket = Socket(front.loop, sock, self)
 
     # ---- in ----
@@ -80,28 +93,41 @@
             if self.drained > MOST_LINGER:
                 self.close()
             return
+        began = self.reader.begun
         try:
             requests = self.reader.feed(data)
         except Malformed as error:
             self.refuse(error.status, error.reason)
             return
-        if not requests:
-            if self.call is not None:
+        if not requests:                        # an empty line behind a body is no request
+            if self.reader.begun and self.call is not None:
                 self.refuse(400, "a second request before the first was answered")
+            elif self.reader.begun and self.served and not began:
+                self.since = self.front.clock.now()
             return
         if self.call is not None or len(requests) > 1 or self.reader.begun:
             self.refuse(400, "several requests at once on a connection")
             return
         self.front.idle.pop(self, None)
-        self.stays = requests[0].stays
+        self.stays, self.asked = requests[0].stays, True
         try:
             self.front.take(self, requests[0])
         except Malformed as error:
             self.refuse(error.status, error.reason)
+        except Exception:                       # a fault of ours, which the loop tells of: it is answered all the same
+            if self.asked and self.call is None:
+                self.refuse(500, "an error of the agent")
+            raise
 
     def on_lost(self, why: str) -> None:
         self.close()
 
+    def on_sent(self) -> None:
+        """Slow readers have their answers too; only then does what the connection is to come to begin."""
+        self.since, self.unsent = self.front.clock.now(), 0
+        if self.over:
+            self.socket.finish()
+
     # ---- out ----
     def refuse(self, status: int, reason: str) -> None:
         """An error of the front's own, and the end of the connection."""
@@ -115,7 +141,7 @@
             return
         front = self.front
         stays = self.stays and not front.draining
-        self.since, self.served = front.clock.now(), True
+        self.since, self.served, self.asked = front.clock.now(), True, False
         try:
             self.socket.write(http1.answer(status, body, headers, stays))
         except OSError:
@@ -158,6 +184,8 @@
         self.calls: dict[bytes, Call] = {}
         self.draining = False
         self.refused = self.evicted = 0
+        self.longest = max((operation.time_limit for operation in seat.operations.values()), default=0)
+        self._last = 0                          # when the end is forced, once the word has come
         self._listener: socket.socket | None = None
         self._door = True                       # whether connections are taken in at present
 
@@ -174,27 +202,30 @@
         return "%s:%d" % sock.getsockname()[:2]
 
     # ---- connections ----
-    def _accept(self, most: int = 32) -> None:
+    def _accept(self, most: int = 32) -> bool:
         """A few at a time: a crowd at the door holds up nobody who is inside. When all places are taken by those who
-        ask for something, the others wait outside: to take them in and send them away would lose what they ask."""
+        ask for something, the others wait outside: to take them in and send them away would lose what they ask.
+        Returns whether nobody waits outside any more."""
         for _ in range(most):
             if self._listener is None:
-                return
+                return True
             if len(self.clients) >= self.most and not self._evict():
                 self._open_door(False)
-                return
+                return False
             try:
                 sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (BlockingIOError, InterruptedError):
+                return True
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE) and not self._evict():
                     self._open_door(False)
-                return
+                    return False
+                continue                        # that one has gone already
             sock.setblocking(False)
             client = Client(self, sock)
             self.clients.add(client)
             self.idle[client] = None
+        return False
 
     def _open_door(self, wide: bool) -> None:
         if self._listener is not None and wide != self._door:
@@ -205,40 +236,54 @@
                 self.loop.remove_reader(self._listener.fileno())
 
     def _evict(self) -> bool:
-        """Makes room: first who said nothing or nothing right, the longest so; then who was served long ago. Never one
-        that has said something which the loop has not had the time to read."""
-        now, spare = self.clock.now(), None
+        """Makes room: first who said nothing, or has been told why it ends; then who was served long ago; then who said
+        half of something. Never one that has said something which the loop has not had the time to read, nor one that
+        has not taken all of its answer."""
+        now, spares = self.clock.now(), {}
         for client in self.idle:
-            silent = client.over or (not client.served and now - client.since >= YOUNG)
-            if silent and (client.over or client.socket.quiet()):
-                spare = client
-                break
-            if spare is None and client.served and now - client.since >= SPARE and client.socket.quiet():
-                spare = client
-        if spare is None:
+            age, begun = now - client.since, client.reader.begun
+            if client.over or not (client.served or begun):
+                rank = 0 if age >= YOUNG else None
+            else:
+                rank = (2 if age >= HALF else None) if begun else (1 if age >= SPARE else None)
+            if rank is not None and rank not in spares and not client.socket.unsent and client.socket.quiet():
+                spares[rank] = client
+                if rank == 0:
+                    break
+        if not spares:
             return False
         self.evicted += 1
-        spare.close()
+        spares[min(spares)].close()
         return True
 
     def _sweep(self) -> None:
+        self.loop.call_later(SWEEP / 1e6, self._sweep)      # first: whatever goes wrong below, it comes again
         now = self.clock.now()
         for client in list(self.idle):
-            age = now - client.since
-            if client.over:
-                if age > LINGER:
+            age, left = now - client.since, client.socket.unsent
+            if left:                            # it reads slowly, or not at all
+                if left != client.unsent:
+                    client.since, client.unsent = now, left
+                elif age > self.longest + LINGER:
+                    client.close()
+            elif client.over:                   # to close on unread bytes would reset what it has not read of its answer
+                if age > SILENT or (age > LINGER and client.socket.quiet()):
                     client.close()
-            elif age > SILENT and (not client.served or client.reader.begun):
-                if client.reader.begun:
+            elif client.reader.begun:
+                if age > SILENT:
                     client.refuse(408, "no whole request in time")
-                else:
+            elif (not client.served and age > SILENT) or (client.served and self.draining and self._listener is None):
+                if client.socket.quiet():
                     client.close()
         self._open_door(True)
-        self.loop.call_later(SWEEP / 1e6, self._sweep)
 
     # ---- requests ----
     def take(self, client: Client, request: Request) -> None:
         """Raises Malformed."""
+        arrived = self.clock.arrived()
+        if (not client.served or self.clock.now() - arrived > HELD_UP) and client.socket.ended():
+            client.close()                      # it waited outside, or we stood still: nobody waits for it any more
+            return
         path = request.target.partition(b"?")[0]
         if path == names.READY:
             client.say(200 if not self.draining else 404, b"")
@@ -260,6 +305,8 @@
         limit = names.limit_of(request.header(names.LIMIT))
         if not limit:
             raise Malformed(400, "no time limit, such as 480m")
+        if self.draining:                       # answered before the end is forced
+            limit = max(1, min(limit, self._last - arrived))
         if ident in self.calls:
             raise Malformed(409, "a request with this id is open")
         hint, further = request.header(names.HINT), names.further_of(request.header(names.FURTHER))
@@ -269,7 +316,7 @@
         call = client.call = self.calls[ident] = Call(client, ident, head, request)
         key = request.header(names.KEY)
         invocation = self.seat.take(
-            call, operation, self.clock.arrived(), limit, customer=request.header(names.CUSTOMER).decode("latin-1"),
+            call, operation, arrived, limit, customer=request.header(names.CUSTOMER).decode("latin-1"),
             key=key.decode("latin-1") if key else None, hint=int(hint) if hint.isdigit() and len(hint) < 12 else 0,
             retry=request.header(names.RETRY) == b"1", write=further.get("update") in ("1", "true"))
         if call.client is not None:
@@ -280,26 +327,33 @@
         """Answers end their connections from now on. Connections keep coming for a while, and clients that stay idle
         learn by the end of theirs that they are to go elsewhere."""
         self.draining = True
+        self._last = self.clock.now() + min(self.longest, LAST[0]) + LAST[1]
         self.loop.call_later(LATE_COMERS / 1e6, self._stop)
 
     def _stop(self) -> None:
+        """A listener that closes resets whoever waits outside, with what they have asked already: they come in first."""
+        if self._listener is None:
+            return
+        if not self._accept(1024) and self.clock.now() < self._last - LAST[1]:
+            self.loop.call_later(CROWD / 1e6, self._stop)
+            return
+        self._close_door()
+        for client in list(self.idle):
+            if client.served and not (client.over or client.reader.begun or client.socket.unsent) and client.socket.quiet():
+                client.close()                  # a request that crosses this end was never read: its client asks elsewhere
+
+    def _close_door(self) -> None:
         if self._listener is not None:
-            self._accept(1024)
             self._open_door(False)
             self._listener.close()
             self._listener = None
-            for client in list(self.idle):
-                if client.served and not client.over and not client.reader.begun:
-                    client.close()
 
     @property
     def busy(self) -> bool:
-        """Somebody is still to come, to be answered, or to read an answer."""
-        return self._listener is not None or any(
-            client.call is not None or client.socket.unsent or client.over or not client.served
-            for client in self.clients)
+        """Somebody is still to come, to ask, to be answered, or to read an answer."""
+        return self._listener is not None or bool(self.clients)
 
     def close(self) -> None:
-        self._stop()
+        self._close_door()
         for client in list(self.clients):
             client.close()
--- a/cartweir/node/links.py
+++ b/cartweir/node/links.py
@@ -24,6 +24,7 @@
 Note = Callable[..., None]
 SWEEP = 100_000
 FADE = 10_000_000
+HELD = 1_000                # microseconds in which the loop hears of a client that goes: after that it is asked
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +52,11 @@
 
     def start(self, dispatch: Dispatch, call: Call) -> Attempt:
         attempt = Attempt(self, dispatch, call)
-        self.pool(dispatch.appliance).send(attempt)
+        if dispatch.sent - dispatch.invocation.taken > HELD and call.gone():
+            self.loop.call_soon(call.leave)     # it was held, and nobody waits for it any more
+            self.loop.call_soon(attempt.unsent, ours.MOOT)
+        else:
+            self.pool(dispatch.appliance).send(attempt)
         return attempt
 
     def probe(self, appliance: Appliance) -> None:
@@ -194,9 +199,16 @@
         if self.socket.unsent or not answer.stays or self.reader.surplus:
             self.close()
         else:
-            self.pool.released(self)
+            try:
+                self.pool.released(self)
+            except Exception:                   # a fault of ours with whoever waited: this answer is good all the same
+                sent.answered(answer)
+                raise
         sent.answered(answer)
 
+    def on_sent(self) -> None:
+        pass
+
     def on_lost(self, why: str) -> None:
         if self.sent is not None and not self.reader.begun:
             self.pool.links.trust.note(self.idle, True)
@@ -273,7 +285,10 @@
     def drop(self, late: bool) -> None:
         """Stop waiting: the connection goes with it, as its answer may still come."""
         link, self.link = self.link, None
-        if link is not None:
+        if link is None:
+            if self.pool is not None and self in self.pool.waiting:
+                self.pool.waiting.remove(self)          # nobody's connection is opened, or counted, for it
+        else:
             link.sent = None
             link.close()
             if late and link.pool.heard <= self.left_at:
@@ -300,6 +315,9 @@
                              self.call.body)
 
     def still_goes(self) -> bool:
+        if self.call.gone():                    # in the very turn in which the connection is ready
+            self.links.loop.call_soon(self.call.leave)
+            return False
         return self.links.seat.leaves(self.dispatch)
 
     def answered(self, answer: Answer) -> None:
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,418 @@
+"""What is still owed in the instant in which something ends: each crossing is forced on loopback sockets, by doing both
+things within one turn of the node's loop, and judged by what passed."""
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from cartweir import interface as ours
+from cartweir.hosting import tcp
+from cartweir.node import front, links
+from ground import Appliance, Held, ask, entry, good, ground
+from test_calls import sockets
+
+LARGE = bytes(60_000)
+
+
+class Raw:
+    """A client whose bytes are with the node's kernel when a call returns, before the loop has had a turn."""
+
+    def __init__(self, address, narrow=False):
+        self.socket = socket.socket()
+        if narrow:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        host, port = address.split(":")
+        self.socket.connect((host, int(port)))
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.setblocking(False)
+
+    def write(self, data):
+        assert self.socket.send(data) == len(data)
+
+    async def answer(self):
+        """Status, head and body, and whether the node ended the connection behind it; an end before is a status of None."""
+        loop, data = asyncio.get_running_loop(), b""
+        while b"\r\n\r\n" not in data or len(data.partition(b"\r\n\r\n")[2]) < self.length(data):
+            try:
+                piece = await loop.sock_recv(self.socket, 65536)
+            except ConnectionResetError:
+                return None, data, b""
+            if not piece:
+                return None, data, b""
+            data += piece
+        head, _, body = data.partition(b"\r\n\r\n")
+        return int(head.split(b" ", 2)[1]), head, body
+
+    @staticmethod
+    def length(data):
+        return next((int(line.split(b":")[1]) for line in data.partition(b"\r\n\r\n")[0].split(b"\r\n")
+                     if line.lower().startswith(b"content-length")), 0)
+
+    async def ended(self):
+        try:
+            return await asyncio.get_running_loop().sock_recv(self.socket, 65536) == b""
+        except ConnectionResetError:
+            return True
+
+    def reset(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.socket.close()
+
+
+async def until(true):
+    while not true():
+        await asyncio.sleep(0.002)
+
+
+async def accepted(it, count):
+    await until(lambda: len(it.daemon.front.clients) == count)
+
+
+def the_client(it):
+    (client,) = it.daemon.front.clients
+    return client
+
+
+@pytest.fixture
+def narrow(monkeypatch):
+    """Little of what the node writes to clients fits into its kernel."""
+    class Narrow(tcp.Socket):
+        __slots__ = ()
+
+        def __init__(self, loop, sock, owner):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            super().__init__(loop, sock, owner)
+    monkeypatch.setattr(front, "Socket", Narrow)
+
+
+# ---- slow readers -------------------------------------------------------------------------------------------------
+@pytest.mark.parametrize("ending", ["drain", "linger", "eviction"])
+@sockets
+async def test_a_slow_reader_gets_the_whole_of_its_answer(ending, narrow, monkeypatch):
+    """The kernel has taken a part of the answer when the connection is to end."""
+    for name in ("LINGER", "YOUNG", "SPARE", "SWEEP"):
+        monkeypatch.setattr(front, name, 10_000)
+    monkeypatch.setattr(front, "LATE_COMERS", 10_000)
+    async with ground(Appliance(lambda *request: good(LARGE)), sockets=64) as it:
+        client = Raw(it.address, narrow=True)
+        await accepted(it, 1)
+        inside = the_client(it)
+        client.write(ask("slow", Connection="close" if ending == "linger" else None))
+        await until(lambda: inside.served)
+        assert inside.socket.unsent                     # else nothing is tried here
+        told = it.daemon.clock.now()
+        if ending == "drain":
+            it.daemon.terminate()
+        crowd = [Raw(it.address) for _ in range(40)] if ending == "eviction" else []
+        await until(lambda: it.daemon.clock.now() > told + 10 * front.LINGER and (
+            not crowd or it.daemon.front.evicted or len(it.daemon.front.clients) == it.daemon.front.most))
+        assert inside in it.daemon.front.clients and not it.daemon.ended.is_set()
+        status, head, body = await client.answer()
+        assert (status, body) == (200, LARGE)
+        if ending != "eviction":
+            assert await client.ended()                 # and then it ends, as was told
+            client.socket.close()
+        if ending == "drain":
+            await it.daemon.ended.wait()
+
+
+@sockets
+async def test_who_never_reads_does_not_keep_its_place_for_ever(narrow, monkeypatch):
+    monkeypatch.setattr(front, "LINGER", 10_000)
+    monkeypatch.setattr(front, "SWEEP", 5_000)
+    async with ground(Appliance(lambda *request: good(LARGE))) as it:
+        it.daemon.front.longest = 20_000
+        client = Raw(it.address, narrow=True)
+        client.write(ask("never"))
+        await accepted(it, 1)
+        await until(lambda: not it.daemon.front.clients)
+
+
+# ---- bytes in the kernel as the node decides to close ----------------------------------------------------------------
+@pytest.mark.parametrize("ending", ["drain", "silence"])
+@sockets
+async def test_a_request_that_lies_unread_as_its_connection_is_to_end_is_answered(ending):
+    async with ground(Appliance()) as it:
+        client = Raw(it.address)
+        await accepted(it, 1)
+        inside = the_client(it)
+        if ending == "drain":                           # one that has been served, and was idle
+            client.write(ask("first"))
+            assert (await client.answer())[0] == 200
+            it.daemon.terminate()
+        inside.since -= 60_000_000
+        client.write(ask("crossing"))
+        (it.daemon.front._stop if ending == "drain" else it.daemon.front._sweep)()
+        status, head, body = await client.answer()
+        assert (status, body) == (200, b"made for crossing")
+        if ending == "drain":
+            assert b"Connection: close" in head and await client.ended()
+            client.socket.close()
+            await it.daemon.ended.wait()
+
+
+@sockets
+async def test_half_a_request_on_a_connection_that_was_idle_for_long_is_given_its_time():
+    async with ground(Appliance()) as it:
+        client, text = Raw(it.address), ask("halved", "order")
+        client.write(ask("first"))
+        assert (await client.answer())[0] == 200
+        inside = the_client(it)
+        inside.since -= 60_000_000
+        client.write(text[:-2])
+        await until(lambda: inside.reader.begun)
+        it.daemon.front._sweep()
+        it.daemon.terminate()
+        it.daemon.front._stop()
+        assert not it.daemon.ended.is_set() and it.daemon.front.busy
+        client.write(text[-2:])
+        assert (await client.answer())[::2] == (200, b"made for halved")
+
+
+@sockets
+async def test_whoever_waits_outside_as_the_listener_closes_comes_in_first(monkeypatch):
+    monkeypatch.setattr(front, "LATE_COMERS", 1_000)
+    held = Held()
+    async with ground(held, sockets=64) as it:
+        most = it.daemon.front.most
+        inside = [Raw(it.address) for _ in range(most)]
+        for number, client in enumerate(inside):
+            client.write(ask(f"in{number}"))
+        await until(lambda: len(it.daemon.front.calls) == most)
+        outside = [Raw(it.address) for _ in range(5)]   # connected, in the listen queue: no place is left
+        for number, client in enumerate(outside):
+            client.write(ask(f"out{number}"))
+        it.daemon.terminate()
+        it.daemon.front._stop()
+        held.go.set()
+        for client in inside + outside:
+            status, head, _ = await client.answer()
+            assert status in (200, 429) and b"Connection: close" in head
+            client.socket.close()
+        await it.daemon.ended.wait()
+
+
+@sockets
+async def test_a_request_after_the_word_to_end_is_answered_before_the_end_is_forced(monkeypatch):
+    monkeypatch.setattr(front, "LAST", (100_000, 100_000))
+    async with ground(Held()) as it:
+        client = Raw(it.address)
+        await accepted(it, 1)
+        it.daemon.terminate()
+        client.write(ask("late", X_Timeout="3000m"))
+        status, head, _ = await client.answer()
+        assert status == 429 and b"Connection: close" in head
+        assert it.daemon.clock.now() < it.daemon.front._last
+
+
+@sockets
+async def test_an_empty_line_behind_a_body_is_no_second_request():
+    held = Held()
+    async with ground(held) as it:
+        client = Raw(it.address)
+        client.write(ask("a", "order"))
+        await held.got(1)
+        client.write(b"\r\n")
+        it.daemon.loop.call_later(0.02, held.go.set)
+        assert (await client.answer())[::2] == (200, b"late")
+        client.write(ask("b", "order"))
+        assert (await client.answer())[0] == 200
+
+
+@sockets
+async def test_half_a_request_outlives_those_who_say_nothing_when_places_run_short(monkeypatch):
+    async with ground(Appliance(), sockets=64) as it:
+        client, text = Raw(it.address), ask("halved")
+        client.write(text[:20])
+        await accepted(it, 1)
+        inside = the_client(it)
+        await until(lambda: inside.reader.begun)
+        crowd = [Raw(it.address) for _ in range(3 * it.daemon.front.most)]
+        await until(lambda: it.daemon.front.evicted >= it.daemon.front.most)
+        assert inside in it.daemon.front.clients
+        client.write(text[20:])
+        assert (await client.answer())[0] == 200
+        for one in crowd:
+            one.socket.close()
+
+
+# ---- clients that go ---------------------------------------------------------------------------------------------------
+@sockets
+async def test_nothing_is_sent_on_for_a_client_that_went_while_it_waited_outside():
+    held = Held()
+    async with ground(held, sockets=64) as it:
+        await it.noted("list")
+        it.daemon.seat.engine.agent.limit = 1000.0      # nothing is held inside: a request that is read goes out at once
+        inside = [Raw(it.address) for _ in range(it.daemon.front.most)]
+        for number, client in enumerate(inside):
+            client.write(ask(f"in{number}"))
+        await held.got(len(inside))
+        outside = Raw(it.address)
+        outside.write(ask("gone"))
+        outside.socket.close()                          # its request and its end are both in the kernel
+        held.go.set()
+        for client in inside:
+            await client.answer()
+            client.socket.close()
+        last = Raw(it.address)
+        last.write(ask("last"))
+        assert (await last.answer())[0] == 200
+        assert "gone" not in held.requests and "last" in held.requests
+
+
+class Late(tcp.Connecting):
+    """A connection that is ready when the test says so."""
+    made: list[Late] = []
+
+    def __init__(self, loop, address, timeout, done):
+        self.address, self.done = address, done
+        self.made.append(self)
+
+    def ready(self):
+        sock = socket.create_connection(tcp.split_address(self.address))
+        sock.setblocking(False)
+        self.done(sock, "")
+
+
+@pytest.fixture
+def late(monkeypatch):
+    monkeypatch.setattr(links, "Connecting", Late)
+    monkeypatch.setattr(Late, "made", made := [])
+    return made
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+@sockets
+async def test_nothing_is_sent_on_in_the_turn_in_which_client_goes_and_connection_comes(how, late):
+    async with ground(Appliance()) as it:
+        client = Raw(it.address)
+        client.write(ask("gone", "order"))
+        await until(lambda: late)
+        client.socket.close() if how == "close" else client.reset()
+        late[0].ready()
+        await until(lambda: not it.daemon.front.clients and not it.daemon.seat.calls)
+        other = Raw(it.address)
+        other.write(ask("other"))
+        await until(lambda: it.appliances[0].requests or len(late) > 1)
+        for one in late[1:]:
+            one.ready()
+        assert (await other.answer())[0] == 200
+        assert [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests] == ["other"]
+
+
+@sockets
+async def test_nothing_is_sent_on_for_a_client_that_goes_in_the_turn_in_which_it_is_no_longer_held():
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        agent = it.daemon.seat.engine.agent
+        limit, agent.limit = agent.limit, 0.0
+        client = Raw(it.address)
+        client.write(ask("gone"))
+        await until(lambda: agent.held and it.daemon.clock.now() > agent.held[0].taken + 2 * links.HELD)
+        client.socket.close()
+        agent.limit = limit
+        it.daemon.seat.enter()
+        agent.stir()
+        it.daemon.seat.engine.settle()
+        await until(lambda: not it.daemon.front.clients and not it.daemon.seat.calls)
+        other = Raw(it.address)
+        other.write(ask("other"))
+        assert (await other.answer())[0] == 200
+        assert [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests] == ["other"]
+
+
+@pytest.mark.parametrize("news", [{"status": "draining"}, {"status": "removed"}, {"release": 2}], ids=str)
+@sockets
+async def test_a_dispatch_that_waits_for_its_connection_stays_as_its_appliance_goes(news, late):
+    """Drained, gone, or back under the same address with another build: what waited there goes out no more."""
+    async with ground(Appliance(), Appliance()) as it:
+        await it.noted("list")
+        client = Raw(it.address)
+        client.write(ask("waits", "issue"))
+        await until(lambda: late)
+        place = next(number for number in (0, 1) if it.appliances[number].address == late[0].address)
+        old = it.daemon.seat.roster.appliances[f"s{place}"]
+        it.discovery.tell(entry(f"s{place}", it.appliances[place], **news))
+        await until(lambda: old.state != ours.READY)
+        late[0].ready()
+        await until(lambda: len(late) > 1)
+        late[1].ready()
+        assert (await client.answer())[::2] == (200, b"made for waits")
+        assert not it.appliances[place].requests and len(it.appliances[1 - place].requests) == 1
+
+
+# ---- each exchange cut at every byte ---------------------------------------------------------------------------------
+class Cutting(Appliance):
+    """Writes so much of its answer, and then ends the connection, once; after that it is as usual."""
+
+    def __init__(self, plan):
+        super().__init__()
+        self.plan = plan
+
+    async def _serve(self, reader, writer):
+        from ground import read_request
+        while True:
+            request = await read_request(reader)
+            self.requests.append(request)
+            answer = good(b"made for " + request[1]["x-request-id"].encode())
+            if self.plan:
+                cut, how = self.plan.pop()
+                writer.write(answer[:cut])
+                if how == "reset":
+                    await writer.drain()
+                    writer.transport.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                return
+            writer.write(answer)
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("operation", ["view", "order", "issue"])
+@sockets
+async def test_an_answer_cut_at_every_byte(operation, how):
+    """Whole, it is the client's; else it may have run: idempotent and fingerprinted ones go again, side-effecting never."""
+    plan = []
+    whole = len(good(b"made for x000"))
+    async with ground(*(Cutting(plan) for _ in range(4))) as it:
+        client = Raw(it.address)
+        for cut in range(whole + 1):
+            it.daemon.seat.engine.agent.spare_retries = 10.0        # what is tried here is one exchange, not a storm of them
+            for appliance in it.daemon.seat.roster.appliances.values():
+                appliance.learned.silences = appliance.learned.strikes = appliance.learned.shut_until = 0
+            plan.append((cut, how))
+            client.write(ask(f"x{cut:03d}", operation))
+            status, _, body = await client.answer()
+            came = [headers["x-request-id"] for one in it.appliances for _, headers, _ in one.requests]
+            if cut == whole and how == "end":
+                assert (status, body, came.count(f"x{cut:03d}")) == (200, b"made for x%03d" % cut, 1)
+            elif operation == "issue":
+                assert status in ((500,) if cut < whole else (200, 500)) and came.count(f"x{cut:03d}") == 1
+            else:
+                assert (status, body) == (200, b"made for x%03d" % cut)
+                assert came.count(f"x{cut:03d}") == 2 or cut == whole
+
+
+@pytest.mark.parametrize("operation", ["view", "order"])
+@sockets
+async def test_a_request_cut_at_every_byte(operation):
+    """In two pieces it is served; without its rest nothing of it is sent on."""
+    async with ground(Appliance()) as it:
+        whole = ask("p000", operation)
+        client = Raw(it.address)
+        for cut in range(1, len(whole)):
+            text = ask(f"p{cut:03d}", operation)
+            client.write(text[:cut])
+            inside = the_client(it) if it.daemon.front.clients else None
+            for _ in range(2):
+                await asyncio.sleep(0)
+            client.write(text[cut:])
+            assert (await client.answer())[::2] == (200, b"made for p%03d" % cut)
+            broken = Raw(it.address)
+            broken.write(ask(f"q{cut:03d}", operation)[:cut])
+            broken.socket.close()
+            del inside
+        await until(lambda: len(it.daemon.front.clients) == 1)
+        came = [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests]
+        assert came == [f"p{cut:03d}" for cut in range(1, len(whole))]
