Lists may come indented; junk in lists, news or votes ends neither watch nor listener

Seen, by tests that failed before: an indented list was split at its newlines and lost the watch each time, so that no list was ever followed; one field that could not be read (status, weight, since_ms, release) rejected a whole list; age_ms of 1e400 (OverflowError), a phase that is a list (TypeError) or counts without a build (KeyError) in news ended the one listener for good; a vote whose error message was no text was never told to the decisions; an exception as a list was followed ended the watch with 'failed' never said, so that nobody asked again; an answer that had been asked for before a newer word undid it; and where lists are pushed, a watch that failed before the first list came was never opened anew, as only lists make the decisions ask.

At fault: discovery.py, _watching's split(b'\n') and its list of expected exceptions, _fetching without a look at the version; names.py, rows_of, all or nothing; desk.py, _news and REFUSALS.get; daemon.py, one subscribe() at the start.

Change: node/jsonstream.py takes objects out of a stream, one a line or indented, in pieces of any size; an empty line within one is an object that broke off. What can't be read of an entry is as if it were not said, and told in `list_bad`. hosting/faults.py tells a fault of ours with its place; watch and listener go on. News that never can be read is asked for ever more rarely (the wait began anew with each connection before).

--- a/cartweir/hosting/roster.py
+++ b/cartweir/hosting/roster.py
@@ -15,9 +15,9 @@
 class Row:
     """One entry of news; None: the news does not say."""
     ident: str
-    build: int = 0
+    build: int | None = 0
     run: Hashable = 0               # tells the starts of a process apart; 0: not told
-    started: int = 0                # by the host's clock; 0: long ago
+    started: int | None = 0         # by the host's clock; 0: long ago
     state: str = READY
     zone: str | None = None
     cell: int | None = None
@@ -42,11 +42,12 @@
             ident = row.ident
             named.add(ident)
             old = self.appliances.get(ident)
-            if old is None or old.build != row.build or (row.run and self._runs.get(ident) != row.run):
+            build = row.build if row.build is not None else old.build if old is not None else 0
+            if old is None or old.build != build or (row.run and self._runs.get(ident) != row.run):
                 if old is not None and old.state != GONE:
                     old.state = GONE
                     changed.append(old)
-                old = self.appliances[ident] = Appliance(ident, row.build, started=row.started)
+                old = self.appliances[ident] = Appliance(ident, build, started=row.started or 0)
                 self._runs[ident] = row.run
             if row.zone is not None:
                 old.zone = row.zone
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -6,13 +6,12 @@
 import random
 import signal
 import sys
-import traceback
 from collections.abc import Callable
 from typing import Any
 
 from tornado.ioloop import IOLoop
 
-from ..hosting import clock
+from ..hosting import clock, faults
 from ..hosting.alarms import Alarms
 from ..hosting.clock import Clock, turns_of
 from ..hosting.seat import Seat
@@ -48,7 +47,9 @@
         self._to_say: list[Callable[[], None]] = []     # wishes of the decisions before there is whom to tell
         self.discovery: Discovery | None = None
         self.seat = self.links.seat = Seat(self, known, config.seed)
-        self.discovery = Discovery(self.seat, self.links, config.discovery, self.clock.now, self.note)
+        # where lists are pushed nobody asks for the watch; it is opened anew here, however long discovery is away
+        waits = None if known["must_ask"] else Waits(*RECONNECT, random.Random(config.seed + 2))
+        self.discovery = Discovery(self.seat, self.links, config.discovery, self.clock.now, self.note, waits)
         self.desk = Desk(self.seat, config.desk, known["vote_timeout"],
                          Waits(*RECONNECT, random.Random(config.seed + 1)), self.note)
         self.peers = Peers(self.seat, config.peer_listen, config.peers, config.peers_all, self.note) if (
@@ -140,19 +141,11 @@
             self.ended.set()
 
 
-def tell_fault(note: Callable[..., None], context: dict[str, Any]) -> None:
-    """An exception that nobody was there for: told with its place, and the agent goes on."""
-    error = context.get("exception")
-    where = traceback.extract_tb(error.__traceback__)[-1] if error and error.__traceback__ else None
-    note("internal_error", level="error", what=context.get("message"), error=repr(error),
-         where=f"{where.filename.rpartition('/')[2]}:{where.name}:{where.lineno}" if where else None)
-
-
 async def run(config: Config) -> None:
     """Until it is told to end. Raises OSError where it cannot listen."""
     daemon = Daemon(config)
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: tell_fault(daemon.note, context))
+    loop.set_exception_handler(lambda _, context: faults.tell(daemon.note, context.get("message"), context.get("exception")))
     loop.add_signal_handler(signal.SIGTERM, daemon.terminate)
     loop.add_signal_handler(signal.SIGINT, daemon.terminate)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
--- a/cartweir/node/desk.py
+++ b/cartweir/node/desk.py
@@ -9,10 +9,11 @@
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from .. import interface as ours
+from ..hosting import faults
 from ..hosting.seat import Seat
 from ..hosting.tcp import connect, spawn, split_address
 from ..hosting.waits import Waits
-from ..interface import Stage, Tally
+from ..interface import Stage
 from . import names
 
 MOST_LINE = 64 * 1024
@@ -44,7 +45,7 @@
 class Desk:
     def __init__(self, seat: Seat, address: str, vote_timeout: int, waits: Waits, note: Note) -> None:
         self.seat, self.address, self.vote_timeout, self.waits, self.note = seat, address, vote_timeout, waits, note
-        self.stages = len(seat.known["caps"]) or 1
+        self.stages = min(len(seat.known["caps"]), len(seat.known["shares"]))
         self._listener: asyncio.Task | None = None
         self._lost, self._calls = False, 0
 
@@ -79,15 +80,17 @@
                         raise Lost(f"listen was answered {str(line)[:80]}")
                     if not told:
                         told = True
-                        self.waits.fine()
                         if self._lost:
                             self._lost = False
                             self.note("desk_back")
                     self._news(line.get("method"), line.get("params"))
+                    self.waits.fine()           # not before: what never can be read is asked for ever more rarely
             except (Lost, OSError, ValueError, StreamClosedError) as error:
                 if told or not self._lost:
                     self._lost = True
                     self.note("desk_lost", level="warning", why=str(error)[:200])
+            except Exception as error:          # a fault of ours: told, and the one listener goes on
+                faults.tell(self.note, "in news", error)
             finally:
                 if stream is not None:
                     stream.close()
@@ -98,12 +101,11 @@
         if method == "news":
             self._stage(told, None)
         elif method == "report" and isinstance(told, dict):
-            self.seat.flagged(str(told.get("class")), str(told.get("server")), round(float(told.get("age_ms", 0)) * 1000))
+            self.seat.flagged(str(told.get("class")), str(told.get("server")), round(names.figure(told, "age_ms", 0) * 1000))
         elif method == "counts" and isinstance(told, dict):
             operation = self.seat.operations.get(str(told.get("class")))
             if operation is not None:
-                self.seat.tallied(Tally(int(told["build"]), operation, int(told["count"]), int(told["failed"]),
-                                        round(float(told.get("mean_ms", 0)) * 1000), round(float(told.get("age_ms", 0)) * 1000)))
+                self.seat.tallied(names.tally_of(told, operation))
 
     def _stage(self, told: Any, answer: str | None) -> None:
         """Raises ValueError."""
@@ -129,7 +131,7 @@
                     raise Lost("an answer to another call")
                 if "error" in answer:
                     message = answer["error"].get("message") if isinstance(answer["error"], dict) else None
-                    how = names.REFUSALS.get(message, "timeout")
+                    how = names.REFUSALS.get(message, "timeout") if isinstance(message, str) else "timeout"
                 else:
                     told, how = answer.get("result"), "ok"
         except (Lost, OSError, ValueError, StreamClosedError, TimeoutError):
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -3,23 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections.abc import Callable, Mapping
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from ..hosting import faults
 from ..hosting.seat import Seat
 from ..hosting.tcp import CHUNK, connect, spawn, split_address
+from ..hosting.waits import Waits
 from . import http1
 from . import names
 from .http1 import Malformed, Pieces
+from .jsonstream import JsonStream
 from .links import Links
 
 CONNECT = 1_000_000         # microseconds
 FIRST = 2_500_000           # for the first word of an answer: calls are worked through in turn
 QUIET = 2_800_000           # an empty line is due every 2 s: a watch that is silent for so long has gone
-MOST_LINE = 4 * 1024 * 1024
+MOST_LIST = 4 * 1024 * 1024
+AGAIN = 50_000, 2_000_000   # of a watch that the decisions do not ask for again
 Note = Callable[..., None]
 
 
@@ -28,9 +31,14 @@
 
 
 class Discovery:
-    def __init__(self, seat: Seat, links: Links, address: str, now: Callable[[], int], note: Note) -> None:
+    """waits: where lists are pushed, how soon a watch that ended is opened anew; elsewhere the decisions ask for it."""
+
+    def __init__(self, seat: Seat, links: Links, address: str, now: Callable[[], int], note: Note,
+                 waits: Waits | None = None) -> None:
         self.seat, self.links, self.address, self.now, self.note = seat, links, address, now, note
+        self.waits = waits
         self.version: int | None = None
+        self._told = 0                          # lists and changes followed so far
         self._watch: asyncio.Task | None = None
         self._lost = False
 
@@ -63,25 +71,24 @@
         try:
             after = b"" if self.version is None else b"&from=%d" % self.version
             stream, reader = await self._asked(b"/api/targets?watch=1" + after)
-            text, wait = b"", FIRST
+            objects, wait = JsonStream(MOST_LIST), FIRST
             while True:
                 data = await self._read(stream, wait)
-                *lines, text = (text + reader.take(data)).split(b"\n")
+                for told in objects.feed(reader.take(data)):
+                    wait = QUIET
+                    self._listing(told)
+                    if old is not None:
+                        old.cancel()
+                        old = None
                 if reader.status not in (0, 200):
                     raise Lost(f"status {reader.status}")
-                if len(text) > MOST_LINE:
-                    raise Lost("a line without end")
-                for line in lines:
-                    if line.strip():
-                        wait = QUIET
-                        self._listing(line)
-                        if old is not None:
-                            old.cancel()
-                            old = None
                 if reader.answer is not None:
                     raise Lost("the watch was ended")
         except (Lost, Malformed, OSError, ValueError, RecursionError, StreamClosedError) as error:
             why = str(error) or type(error).__name__
+        except Exception as error:              # a fault of ours: told, and the watch is opened anew
+            faults.tell(self.note, "in a list", error)
+            why = f"an error of the agent: {error!r}"
         finally:
             if old is not None:
                 old.cancel()
@@ -93,22 +100,29 @@
                 self.note("discovery_lost", level="warning", why=why[:200])
             self._watch = None
             self.seat.listed("failed")
+            if self.waits is not None:
+                await asyncio.sleep(self.waits.again())
+                self.subscribe()
 
     async def _fetching(self) -> None:
         stream: IOStream | None = None
+        told = self._told
         try:
             stream, reader = await self._asked(b"/api/targets")
-            text = b""
+            objects, found = JsonStream(MOST_LIST), []
             while reader.answer is None:
-                text += reader.take(await self._read(stream, FIRST))
-                if len(text) > MOST_LINE:
-                    raise Lost("a list without end")
+                found += objects.feed(reader.take(await self._read(stream, FIRST)))
             if reader.answer.status != 200:
                 raise Lost(f"status {reader.answer.status}")
-            self._listing(text)
+            if len(found) != 1:
+                raise Lost(f"{len(found)} lists in an answer")
+            self._listing(found[0], overtaken=told != self._told)
         except (Lost, Malformed, OSError, ValueError, RecursionError, StreamClosedError) as error:
             self.note("fetch_failed", level="warning", why=str(error)[:200])
             self.seat.listed("failed")
+        except Exception as error:
+            faults.tell(self.note, "in a list", error)
+            self.seat.listed("failed")
         finally:
             if stream is not None:
                 stream.close()
@@ -133,22 +147,29 @@
             raise Lost("too much to read") from None
 
     # ---- what it says ----
-    def _listing(self, line: bytes) -> None:
-        """Raises ValueError."""
-        told = json.loads(line)
+    def _listing(self, told: Any, overtaken: bool = False) -> None:
+        """overtaken: something else was told since it was asked for. Raises ValueError."""
         if not isinstance(told, dict) or not isinstance(told.get("endpoints"), list):
-            raise ValueError(f"no list: {line[:80]!r}")
+            raise ValueError(f"no list: {str(told)[:80]!r}")
         version = told.get("index")
+        version = version if type(version) is int else None
         whole = bool(told.get("snapshot"))
+        if version is not None and self.version is not None and version < self.version and (overtaken or not whole):
+            self.note("list_old", level="warning", version=version, held=self.version)
+            return                  # of a call from before what is held now; a whole one may be discovery's new life
         self._apply("whole" if whole else "changes", told["endpoints"])
-        self.version = version if type(version) is int else None
+        self.version, self._told = version, self._told + 1
+        if self.waits is not None:
+            self.waits.fine()
         if self._lost:
             self._lost = False
             self.note("discovery_back", version=self.version)
         self.note("list", level="debug", version=self.version, named=len(told["endpoints"]))
 
     def _apply(self, how: str, entries: Any) -> None:
-        rows = names.rows_of(entries, self.now())
+        rows, unread = names.rows_of(entries, self.now())
+        if unread:
+            self.note("list_bad", level="warning", entries=len(unread), first=unread[0][:200])
         for row, address in rows:
             if address:
                 self.links.addresses[row.ident] = address
--- a/cartweir/node/names.py
+++ b/cartweir/node/names.py
@@ -3,12 +3,12 @@
 
 import re
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from .. import interface as ours
 from ..hosting.roster import Row
-from ..interface import Stage
+from ..interface import Operation, Stage, Tally
 from .http1 import Answer
 
 ID, CLASS, CUSTOMER, KEY = b"x-request-id", b"x-priority-class", b"x-tenant-id", b"x-route-key"
@@ -42,29 +42,62 @@
     return ours.ERROR
 
 
+def figure(told: Mapping[str, Any], name: str, absent: float = ...) -> float:
+    """Raises ValueError where it is no number, or none that a figure can have."""
+    value = told.get(name)
+    if value is None and absent is not ...:
+        return absent
+    if type(value) not in (int, float) or not 0 <= value < 1e15:
+        raise ValueError(f"{name}: {str(value)[:60]!r} is no figure")
+    return value
+
+
+def whole(told: Mapping[str, Any], name: str) -> int:
+    value = told.get(name)
+    if type(value) is not int or not 0 <= value < 1 << 53:
+        raise ValueError(f"{name}: {str(value)[:60]!r} is no number")
+    return value
+
+
 def stage_of(told: Any, stages: int, answer: str | None) -> Stage:
     """Raises ValueError where this is no state of a build."""
     if not isinstance(told, Mapping):
         raise ValueError("not an object")
-    build, number, phase = told.get("build"), told.get("stage"), told.get("phase")
-    cap, age = told.get("cap"), told.get("age_ms", 0)
-    if type(build) is not int or type(number) is not int or phase not in PHASES or not (0 <= number < stages) or (
-            type(cap) not in (int, float) or not 0 <= cap <= 1 or type(age) not in (int, float) or age < 0):
+    build, number, phase = whole(told, "build"), whole(told, "stage"), told.get("phase")
+    cap, age = figure(told, "cap"), figure(told, "age_ms", 0)
+    if not isinstance(phase, str) or phase not in PHASES or number >= stages or cap > 1:
         raise ValueError(f"no state of a build: {str(told)[:120]}")
     return Stage(build, number, PHASES[phase], float(cap), round(age * 1000), answer)
 
 
-def rows_of(entries: Iterable[Any], now: int, read: Callable[[], float] = time.time) -> list[tuple[Row, str]]:
-    """Discovery's entries with their addresses. Starts are given in Unix time; ours count on the clock that says `now`.
-    Raises ValueError."""
-    rows, wall = [], read() * 1000
+def tally_of(told: Mapping[str, Any], operation: Operation) -> Tally:
+    """Raises ValueError."""
+    return Tally(whole(told, "build"), operation, whole(told, "count"), whole(told, "failed"),
+                 round(figure(told, "mean_ms", 0) * 1000), round(figure(told, "age_ms", 0) * 1000))
+
+
+def rows_of(entries: Any, now: int, read: Callable[[], float] = time.time) -> tuple[list[tuple[Row, str]], list[str]]:
+    """Discovery's entries with their addresses, and those that can't be read: these say nothing, and what can't be read
+    of another is as if it were not said. Starts are given in Unix time; ours count on the clock that says `now`. Raises
+    ValueError where there is no list."""
+    if not isinstance(entries, (list, tuple)):
+        raise ValueError(f"no list of entries: {str(entries)[:80]!r}")
+    rows, unread, wall = [], [], read() * 1000
     for entry in entries:
-        try:
-            since = entry.get("since_ms", 0)
-            started = max(1, now - max(0, round((wall - since) * 1000))) if since else 0
-            rows.append((Row(str(entry["name"]), int(entry.get("release", 0)), since, started,
-                             STATES.get(entry.get("status", "up"), ours.DRAINING), entry.get("zone"), entry.get("group"),
-                             entry.get("type"), entry.get("weight")), str(entry.get("address", ""))))
-        except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
-            raise ValueError(f"no entry of the list: {str(entry)[:120]}") from None
-    return rows
+        if not isinstance(entry, dict) or not isinstance(name := entry.get("name"), str) or not name:
+            unread.append(str(entry)[:120])
+            continue
+
+        def of(field: str, kinds: tuple, least: float = 0) -> Any:
+            value = entry.get(field)
+            if value is None or (type(value) in kinds and (kinds == (str,) or least <= value < 1e15)):
+                return value
+            unread.append(f"{field} of {name[:60]}: {str(value)[:60]}")
+            return None
+        since, weight = of("since_ms", (int, float)), of("weight", (int, float), 1e-6)
+        started = None if since is None else max(1, now - max(0, round((wall - since) * 1000))) if since else 0
+        state = of("status", (str,))
+        rows.append((Row(name, of("release", (int,)), since, started,
+                         ours.READY if state is None and entry.get("status") is None else STATES.get(state, ours.DRAINING),
+                         of("zone", (str,)), of("group", (int,)), of("type", (str,)), weight), of("address", (str,)) or ""))
+    return rows, unread
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
 import socket
+import sys
 
 import pytest
 
 from cartweir import interface as ours
 from cartweir.hosting import tcp
-from cartweir.node import front, links
-from ground import Appliance, Held, ask, entry, good, ground
+from cartweir.node import config, front, links
+from ground import SETTINGS, Appliance, Discovery, Held, ask, entry, good, ground
 from test_calls import sockets
 
 LARGE = bytes(60_000)
@@ -416,3 +420,227 @@
         await until(lambda: len(it.daemon.front.clients) == 1)
         came = [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests]
         assert came == [f"p{cut:03d}" for cut in range(1, len(whole))]
+
+
+# ---- discovery ----------------------------------------------------------------------------------------------------------
+def indented(told, width=2):
+    return json.dumps(told, indent=width).encode() + b"\n"
+
+
+@pytest.mark.parametrize("cut", [None, 1, 7])
+@sockets
+async def test_lists_may_come_indented(cut):
+    """Whole lists and changes over several lines, in pieces of any size, with signs of life between."""
+    async with ground(Appliance(), Appliance()) as it:
+        await it.noted("list")
+
+        def say(data):
+            for at in range(0, len(data), cut or len(data)):
+                piece = data[at:at + (cut or len(data))]
+                it.discovery.watches[0].write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        say(indented({"index": 2, "snapshot": False, "endpoints": [entry("s0", it.appliances[0], status="draining")]}) + b"\n")
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING)
+        say(b"\n" + indented({"index": 3, "snapshot": True, "endpoints": [entry("s1", it.appliances[1])]}, 1))
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.GONE)
+        assert len(it.discovery.asked) == 1 and not any(event == "discovery_lost" for event, _ in it.notes)
+
+
+@sockets
+async def test_an_object_that_breaks_off_is_no_reason_to_wait_for_ever():
+    """Half an object and then signs of life: the watch is opened anew, from where it was."""
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        for piece in (b'{"index": 2, "snapshot": false,\n', b"\n"):
+            it.discovery.watches[0].write(b"%x\r\n%b\r\n" % (len(piece), piece))
+        await until(lambda: len(it.discovery.asked) > 1)
+        assert it.discovery.asked[1].startswith("GET /api/targets?watch=1&from=1 ")
+
+
+@sockets
+async def test_a_fault_as_a_list_is_followed_ends_no_watching(monkeypatch):
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        listed, raised = it.daemon.seat.listed, []
+
+        def faulty(how, rows=()):
+            if how == "changes" and not raised:
+                raised.append(True)
+                raise KeyError("on purpose")
+            return listed(how, rows)
+        monkeypatch.setattr(it.daemon.seat, "listed", faulty)
+        it.discovery.tell(entry("s0", it.appliances[0], status="draining"))
+        assert "KeyError" in (await it.noted("internal_error"))["error"]
+        it.discovery.endpoints = [entry("s0", it.appliances[0], status="draining")]
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING)
+
+
+@sockets
+async def test_an_answer_from_before_what_is_held_is_not_followed():
+    """A list that was asked for, and comes after a newer word on the watch: it drains nothing back."""
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        asked = []
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            asked.append(writer)
+            await reader.read()
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        watched, it.daemon.discovery.address = it.daemon.discovery.address, "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        it.daemon.fetch_list()
+        await until(lambda: asked)
+        it.daemon.discovery.address = watched
+        it.discovery.tell(entry("s0", it.appliances[0], status="draining"))
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING)
+        asked[0].write(good(json.dumps({"index": 1, "snapshot": True, "endpoints": [entry("s0", it.appliances[0])]}).encode()))
+        assert (await it.noted("list_old")) == {"version": 1, "held": 2}
+        assert it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING
+        server.close()
+
+
+@sockets
+async def test_where_lists_are_pushed_the_watch_comes_back_by_itself(monkeypatch):
+    """Discovery is away as the agent starts; it was never told anything, and nobody asks in its place."""
+    monkeypatch.setitem(SETTINGS, "registryMode", "pushed")
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    async with ground(Appliance()) as it:
+        await it.noted("list")
+        lost = it.daemon.discovery
+        it.daemon.seat.engine.agent.subscribed = False      # as in a process that has heard nothing yet
+        lost.move(f"127.0.0.1:{port}")
+        await it.noted("discovery_lost")
+        back = Discovery([entry("s0", it.appliances[0], status="draining")])
+        back.server = await asyncio.start_server(back._accepted, "127.0.0.1", port)
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING)
+        back.stop()
+
+
+JUNK = [None, "", "x", -1, 1e400, float("nan"), True, [], {}, [1], 10 ** 30]
+
+
+@pytest.mark.parametrize("field", ["name", "address", "zone", "type", "group", "status", "weight", "since_ms", "release"])
+@sockets
+async def test_an_entry_with_junk_in_a_field_harms_no_other(field):
+    """Of one entry a field can't be read: the others are followed, and what can be read of it."""
+    async with ground(Appliance(), Appliance()) as it:
+        await it.noted("list")
+        for number, junk in enumerate(JUNK):
+            state = ("draining", "up")[number % 2]
+            it.discovery.tell({**entry("s0", it.appliances[0]), field: junk}, entry("s1", it.appliances[1], status=state))
+            await until(lambda: it.daemon.seat.roster.appliances["s1"].state == (ours.DRAINING, ours.READY)[number % 2])
+        client = Raw(it.address)
+        client.write(ask("a"))
+        if JUNK[-1] is not None and len(JUNK) % 2 == 0:
+            assert (await client.answer())[0] == 200
+        assert len(it.discovery.asked) == 1
+
+
+# ---- the desk ------------------------------------------------------------------------------------------------------------
+@pytest.mark.parametrize("field", ["build", "stage", "phase", "cap", "age_ms"])
+@pytest.mark.parametrize("junk", JUNK[2:], ids=str)
+@sockets
+async def test_news_with_junk_in_a_field_ends_no_listening(field, junk):
+    async with ground(Appliance()) as it:
+        await until(lambda: it.desk.listeners)
+        it.desk.tell("news", **{"build": 2, "stage": 0, "phase": "testing", "cap": 0.2, "age_ms": 1, field: junk})
+        it.desk.tell("report", **{"class": junk, "server": junk, "age_ms": junk})
+        it.desk.tell("counts", **{"class": "view", "build": junk, "count": junk, "failed": 1, "mean_ms": junk})
+        before = len(it.desk.listeners)
+        await until(lambda: len(it.desk.listeners) > before)
+        it.desk.listeners[-1].write(json.dumps({"jsonrpc": "2.0", "method": "news", "params": {
+            "build": 3, "stage": 0, "phase": "testing", "cap": 0.2, "age_ms": 1}}).encode() + b"\n")
+        await until(lambda: it.daemon.seat.engine.agent.stage.build == 3)
+
+
+@pytest.mark.parametrize("error", [{"message": []}, {"message": {"a": 1}}, [], 7, None], ids=str)
+@sockets
+async def test_whatever_a_vote_is_answered_the_decisions_are_told(error):
+    async with ground(Appliance()) as it:
+        told, staged = [], it.daemon.seat.staged
+        it.daemon.seat.staged = lambda stage: (told.append(stage.answer), staged(stage))
+        it.desk.vote = lambda call: json.dumps({"jsonrpc": "2.0", "id": call["id"], "error": error}).encode() + b"\n"
+        it.daemon.vote(2, 0, "on")
+        assert (await it.noted("vote"))["answer"] == "timeout"
+        await until(lambda: "timeout" in told)
+
+
+@sockets
+async def test_a_connection_that_is_given_up_while_it_is_made_leaves_no_descriptor():
+    full, crowd = socket.create_server(("127.0.0.1", 0), backlog=0), [socket.socket() for _ in range(4)]
+    for one in crowd:
+        one.setblocking(False)
+        one.connect_ex(full.getsockname())
+    before = len(os.listdir("/proc/self/fd"))
+    for _ in range(10):
+        task = asyncio.ensure_future(tcp.connect(*full.getsockname(), 60_000_000))
+        for _ in range(3):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+    assert len(os.listdir("/proc/self/fd")) == before
+    for one in (full, *crowd):
+        one.close()
+
+
+# ---- the program itself ------------------------------------------------------------------------------------------------
+async def program(tmp_path, **more):
+    with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as nobody:
+        listen, away = ("127.0.0.1:%d" % one.getsockname()[1] for one in (free, nobody))
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({
+        "name": "n0", "listen": listen, "discovery": away, "seed": "ff", "limits": {"sockets": 256},
+        "pipeline": {"address": away, "news": {}}, "settings": SETTINGS, "known": {}, **more}))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-s", "-B", "-m", "cartweir.node", cwd=config.__file__.rpartition("/cartweir/")[0],
+        env={"EDGE_CONFIG": str(file)}, stderr=asyncio.subprocess.PIPE)
+    return process, listen, file
+
+
+async def lines_until(process, event):
+    lines = []
+    while not lines or lines[-1].split()[1] != event:
+        lines.append((await process.stderr.readline()).decode())
+        assert lines[-1], lines
+    return lines
+
+
+@sockets
+async def test_sigterm_at_any_moment_of_the_start_is_an_end_and_no_crash(tmp_path):
+    """At once, and ever later, until the start is over: no traceback, and no code but that of an end."""
+    for number in range(8):
+        process, _, _ = await program(tmp_path)
+        try:
+            async with asyncio.timeout(0.03 * number):
+                await process.stderr.readline()
+        except TimeoutError:
+            pass
+        process.send_signal(signal.SIGTERM)
+        rest = (await process.stderr.read()).decode()
+        assert await process.wait() in (0, -signal.SIGTERM), rest
+        assert "Traceback" not in rest and "internal_error" not in rest
+
+
+@sockets
+async def test_signals_cross_before_the_first_list_while_discovery_is_away(tmp_path):
+    """SIGHUP during the drain, with a half-written file and with a good one, SIGTERM twice: one clean end."""
+    process, listen, file = await program(tmp_path)
+    await lines_until(process, "started")
+    client = Raw(listen)
+    client.write(ask("a", X_Timeout="900m"))
+    await asyncio.sleep(0)
+    process.send_signal(signal.SIGTERM)
+    await lines_until(process, "draining")
+    text = file.read_text()
+    file.write_text(text[:len(text) // 2])
+    process.send_signal(signal.SIGHUP)
+    await lines_until(process, "config_bad")
+    file.write_text(text)
+    process.send_signal(signal.SIGHUP)
+    await lines_until(process, "reloaded")
+    process.send_signal(signal.SIGTERM)
+    status, head, _ = await client.answer()
+    assert status == 429 and b"Connection: close" in head and await client.ended()
+    client.socket.close()
+    rest = (await process.stderr.read()).decode()
+    assert await process.wait() == 0 and "stopped" in rest and "Traceback" not in rest, rest
