A fault inside with an invocation open: it gets its one answer, and the next alarm fires

Seen: an exception raised on purpose in the decisions (pick, give_up, may_retry) left the invocation's client without any answer, and one in an alarm withheld those that were due with it.

At fault: seat.py handed exceptions to the loop, whose handler logs them, and nobody ended the invocation whose generator had died; Engine.alarm armed the next one only if none had failed; Alarms._fire likewise.

Change: whatever comes in by the Seat answers those that a fault has broken off (terminated, as it may have run) and raises it as before. Tests: four places of a fault, one as a request is read, one in an alarm; all but 'observe' failed before.

--- a/cartweir/engine.py
+++ b/cartweir/engine.py
@@ -66,9 +66,11 @@
         if self._next_alarm is not None and self._next_alarm <= self.now:
             self._next_alarm = None
         last = self._order
-        while self._timers and self._timers[0][0] <= self.now and self._timers[0][1] <= last:
-            heapq.heappop(self._timers)[2]()
-        self._arm()
+        try:
+            while self._timers and self._timers[0][0] <= self.now and self._timers[0][1] <= last:
+                heapq.heappop(self._timers)[2]()
+        finally:                    # a fault in one of them withholds none of the others
+            self._arm()
 
     def overdue(self) -> None:
         """Run what should have run before the event in hand, without waiting for its alarm."""
@@ -105,6 +107,10 @@
         if inv.steps is not None:
             self._resume(inv, None)
 
+    def broken(self, inv: Invocation) -> bool:
+        """A fault has ended its generator, or keeps it from ever being resumed."""
+        return inv.steps is None or not (inv.steps.gi_running or self._waits.get(inv.turn) is inv)
+
     def wake(self, inv: Invocation) -> None:
         """Resume a waiting invocation once the event in hand has been dealt with."""
         self._woken.append(inv.turn)
--- a/cartweir/hosting/alarms.py
+++ b/cartweir/hosting/alarms.py
@@ -34,6 +34,8 @@
         while self._dues and self._dues[0] <= now:
             heapq.heappop(self._dues)
             due = True
-        if due:
-            self.ring()
-        self._schedule()
+        try:
+            if due:
+                self.ring()
+        finally:                    # whatever goes wrong there, the next one fires
+            self._schedule()
--- a/cartweir/hosting/seat.py
+++ b/cartweir/hosting/seat.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import wraps
 from typing import Any, Protocol
 
 from .. import interface as ours
@@ -47,6 +48,20 @@
     def note(self, event: str, **facts: Any) -> None: ...
 
 
+def answering(method: Callable[..., Any]) -> Callable[..., Any]:
+    """Guards against faults of ours: they are raised as they were, but whoever they have broken off is answered first."""
+    @wraps(method)
+    def entered(self: Seat, *arguments: Any, **more: Any) -> Any:
+        try:
+            return method(self, *arguments, **more)
+        except Exception:
+            for inv in [inv for inv in self.calls if self.engine.broken(inv)]:
+                inv.concluded = True
+                self.terminate(inv)
+            raise
+    return entered
+
+
 class Seat:
     """One instance. known: the plain map of settings, with its operations."""
 
@@ -134,11 +149,13 @@
         if self.lag > self.engine.lag:
             self.engine.lag = self.lag
 
+    @answering
     def alarm(self) -> None:
         self.engine.enter(max(self.world.now(), self.engine.now))
         self.engine.alarm()
         self.engine.settle()
 
+    @answering
     def take(self, call: Call, operation: Operation, arrived: int, limit: int, ident: int | None = None,
              **facts: Any) -> Invocation:
         """A whole call has come in; limit: how long after `arrived` its client waits; ident: where it has one."""
@@ -151,6 +168,7 @@
         self.engine.settle()
         return inv
 
+    @answering
     def left(self, inv: Invocation) -> None:
         """The client has gone; nothing is owed."""
         if self.calls.pop(inv, None) is not None:
@@ -174,6 +192,7 @@
         inv.streaming = True
         return True
 
+    @answering
     def ended(self, dispatch: Dispatch, how: str, load: Mapping[str, float] | None = None,
               answer: tuple[Headers, list[bytes], Headers] | None = None, passed: bool = False) -> None:
         """A dispatch has ended. answer: what succeeded, to be passed on; passed: it was already being."""
@@ -191,11 +210,13 @@
         if inv.steps is None and all(d.ended is not None for d in inv.dispatches):
             inv.dispatches = []             # each knows its invocation: no cycle is left to the collector
 
+    @answering
     def probed(self, appliance: Appliance, answered: bool, took: int, load: Mapping[str, float] | None) -> None:
         self.enter()
         self.engine.probed(appliance, answered, took, load)
         self.engine.settle()
 
+    @answering
     def listed(self, how: str, rows: Iterable[Row] = ()) -> list[Appliance]:
         """how: changes, whole, cached or failed, as the decisions know it."""
         self.enter()
@@ -204,6 +225,7 @@
         self.engine.settle()
         return changed
 
+    @answering
     def staged(self, stage: Stage) -> None:
         if stage.answer in (None, "ok") and self._word != (stage.word, stage.cap):
             self._word = (stage.word, stage.cap)
@@ -212,17 +234,20 @@
         self.engine.agent.on_stage(stage)
         self.engine.settle()
 
+    @answering
     def tallied(self, tally: Tally) -> None:
         self.enter()
         self.engine.agent.on_tally(tally)
         self.engine.settle()
 
+    @answering
     def flagged(self, operation: str, appliance: str, age: int) -> None:
         self.enter()
         if operation in self.operations and appliance in self.roster.appliances:
             self.engine.agent.on_flag(self.operations[operation], self.roster.appliances[appliance], age)
         self.engine.settle()
 
+    @answering
     def told(self, sender: int, figures: list[int]) -> None:
         self.enter()
         self.engine.agent.on_message(sender, figures)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -422,6 +422,55 @@
         assert came == [f"p{cut:03d}" for cut in range(1, len(whole))]
 
 
+# ---- faults of our own ------------------------------------------------------------------------------------------------
+@pytest.mark.parametrize("where", ["pick", "give_up", "observe", "may_retry"])
+@sockets
+async def test_a_fault_inside_with_an_invocation_open_is_answered_and_told(where, monkeypatch):
+    """It is raised once, amid an invocation's decisions; its client has one final answer, and the next is served."""
+    def script(line, headers, body):
+        return None if headers["x-request-id"] == "hit" else good(b"fine")
+
+    async with ground(Appliance(script)) as it:
+        agent, told = it.daemon.seat.engine.agent, []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: told.append(context["exception"]))
+        method, raised = getattr(type(agent), where), []
+
+        def faulty(self, *arguments):
+            if not raised and (where != "observe" or arguments[0].dispatch.invocation.key is None):
+                raised.append(True)
+                raise ZeroDivisionError("on purpose")
+            return method(self, *arguments)
+        monkeypatch.setattr(type(agent), where, faulty)
+        client = Raw(it.address)
+        client.write(ask("hit", "view" if where != "give_up" else "issue", X_Timeout="600m"))
+        status, _, _ = await client.answer()
+        assert status in (500, 429) and [type(error) for error in told] == [ZeroDivisionError]
+        agent.spare_retries = 10.0
+        client.write(ask("next"))
+        assert (await client.answer())[::2] == (200, b"fine") and not it.daemon.seat.calls
+
+
+@sockets
+async def test_a_fault_as_a_request_is_read_is_answered(monkeypatch):
+    async with ground(Appliance()) as it:
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
+        monkeypatch.setattr(front.names, "further_of", lambda text: 1 // 0)
+        client = Raw(it.address)
+        client.write(ask("a"))
+        assert (await client.answer())[0] == 500
+
+
+@sockets
+async def test_a_fault_in_one_alarm_withholds_none_of_the_others():
+    async with ground(Appliance()) as it:
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
+        engine, rung = it.daemon.seat.engine, []
+        now = it.daemon.clock.now()
+        engine.at(now + 10_000, lambda: 1 // 0)
+        engine.at(now + 20_000, lambda: rung.append(1))
+        await until(lambda: rung)
+
+
 # ---- discovery ----------------------------------------------------------------------------------------------------------
 def indented(told, width=2):
     return json.dumps(told, indent=width).encode() + b"\n"
