A repeat that waited for its connection leaves within its window, or not at all

Seen, by a test that failed before: a fingerprinted invocation whose first dispatch may have run was sent a second time after its window, as the second one had waited for its connection (connections may come up late by up to a second; windows of other customers are short).

At fault: logic.py, Agent.leaves looked at exposure, keys and drains again, not at rule 2. Now may_repeat is asked once more, without the dispatch that leaves.

--- a/cartweir/logic.py
+++ b/cartweir/logic.py
@@ -426,9 +426,10 @@
             self.pace = part * served * most
             self.credit += self.pace
 
-    def may_repeat(self, inv: Invocation, appliance: Appliance) -> bool:
+    def may_repeat(self, inv: Invocation, appliance: Appliance, leaving: Dispatch | None = None) -> bool:
         """Rule 2, for whatever was sent before and may have run or still be out."""
-        operation, maybe = inv.operation, [d for d in inv.dispatches if d.ended not in NEVER_RAN]
+        operation = inv.operation
+        maybe = [d for d in inv.dispatches if d.ended not in NEVER_RAN and d is not leaving]
         if not self.known["may_duplicate"] and any(d.ended is None for d in maybe):
             return False
         if not maybe or operation.effect == IDEMPOTENT:
@@ -466,7 +467,7 @@
         load = max(health.open + 0.5, health.load if now - health.load_at < S else 0)
         load += 4 * (health.heard < health.probed)          # guards against appliances that stand still
         load += 0.3 * (appliance.zone != self.known["zone"])
-        return load * (1 + 4 * health.bad_share()) / (max(appliance.weight, 0.01) * self.warmth(appliance))
+        return load * (1 + 4 * health.bad_share()) / max(appliance.weight * self.warmth(appliance), 0.01)
 
     def fits(self, inv: Invocation, appliance: Appliance, tried: list[Appliance]) -> bool:
         health = appliance.learned          # silent to its latest probe while most are answered: seldom tried
@@ -699,11 +700,13 @@
 
     def leaves(self, dispatch: Dispatch) -> bool:
         """One that waited outside for its connection goes now, if it still may, and counts from now: guards
-        against a build on trial getting in one burst what was let through one by one."""
+        against a build on trial getting in one burst what was let through one by one, and against a repeat
+        that leaves once its window is over."""
         inv, place = dispatch.invocation, dispatch.appliance
         exposure = self.exposures[inv.operation]
         exposure.drop(dispatch.learned)
-        may = not inv.concluded and not inv.streaming and place.state == READY and self.may_meet(inv, place)
+        may = not inv.concluded and not inv.streaming and place.state == READY and (
+            self.may_repeat(inv, place, dispatch) and self.may_meet(inv, place))
         if may and self.cap_of(place) is not None:
             dispatch.learned = exposure.add(self.host.now)
         return may
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -347,6 +347,24 @@
         assert not it.appliances[place].requests and len(it.appliances[1 - place].requests) == 1
 
 
+@sockets
+async def test_a_repeat_that_waits_for_its_connection_stays_once_its_window_is_over(late):
+    """The first dispatch may have run; by the time the second one's connection is there, appliances no longer drop repeats."""
+    async with ground(*(Appliance(lambda *request: None) for _ in range(3))) as it:
+        await it.noted("list")
+        client = Raw(it.address)
+        client.write(ask("a", "order"))
+        await until(lambda: late)
+        late[0].ready()
+        await until(lambda: len(late) > 1)
+        (inv,) = it.daemon.seat.calls
+        inv.dispatches[0].sent -= inv.operation.window
+        for one in late[1:]:
+            one.ready()
+        status, _, _ = await client.answer()
+        assert status == 429 and sum(len(one.requests) for one in it.appliances) == 1
+
+
 # ---- each exchange cut at every byte ---------------------------------------------------------------------------------
 class Cutting(Appliance):
     """Writes so much of its answer, and then ends the connection, once; after that it is as usual."""
