Settings of any customer: each key is read or refused by place, reason and what is right

Played: each of 93 keys absent, null, 0, negative, of other types and sizes.

An operation without a hardLimit started and could never be served: it is refused now.

tests/test_node.py: its good configuration had an operation without a hardLimit, which is no good one: it has one, and the case without is one of the refused; 'settings are malformed' has become the place and reason.

Ruled out: coldFrom 0 with the first dispatch at age 0 is reachable only beside another cold one (credit); the test has both.

--- a/cartweir/node/config.py
+++ b/cartweir/node/config.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..hosting.known import known_from
+from ..hosting.known import SettingError, known_from
 from ..hosting.tcp import split_address
 
 
@@ -52,7 +52,9 @@
 
 
 def _of(told: Mapping[str, Any], name: str, kind: type, due: str, absent: Any = ...) -> Any:
-    value = told.get(name, absent)
+    value = told.get(name)
+    if value is None and (name not in told or absent is not ...):       # null, where nothing need be told, tells nothing
+        value = absent
     if value is ...:
         raise ConfigError(f"{name} is missing; {due} is due")
     if value is not absent and (not isinstance(value, kind) or isinstance(value, bool)):
@@ -83,16 +85,24 @@
     settings = _of(told, "settings", dict, "the object of settings")
     try:
         known = known_from(settings)
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ConfigError(f"settings are malformed ({error!r}); the object of an instance's first message is due") from None
+    except SettingError as error:
+        raise ConfigError(f"settings.{error}") from None
     if not known["operations"]:
         raise ConfigError("settings.classes is empty; one operation at least is due")
+    for operation in known["operations"]:
+        if not operation.time_limit:
+            raise ConfigError(f"settings.classes: {operation.name!r} has no hardLimit; a time in milliseconds is due")
+    if len(known["caps"]) != len(known["shares"]):
+        raise ConfigError(f"settings.familyInfo: {len(known['caps'])} mostShares and {len(known['shares'])} steps; "
+                          "one of each for a stage is due")
+    listed = _of(told, "known", dict, "a list in discovery's form", {})
+    _of(listed, "endpoints", list, "a list of entries", [])
     try:
         return Config(
             _of(told, "name", str, "the agent's name"), _address(told, "listen"), _address(told, "discovery"),
             int(seed, 16), _of(limits, "sockets", int, "a number of descriptors", 1024),
             _address(told, "peer_listen", None), peers, _address(told, "peers_all", None), _address(desk, "address"),
-            _of(desk, "news", dict, "the state of the newest build", {}) or {},
-            _of(told, "known", dict, "a list in discovery's form", {}) or {}, known)
+            _of(desk, "news", dict, "the state of the newest build", {}),
+            listed, known)
     except ValueError:
         raise ConfigError(f"seed: {seed[:60]!r}; a hexadecimal number is due") from None
--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,150 @@
+"""Settings of other customers: whatever stands at a key, the agent serves by it, or does not start and says why."""
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+
+from cartweir import interface as ours
+from cartweir.engine import Engine
+from cartweir.hosting.known import SETTINGS, SettingError, known_from
+from cartweir.interface import Appliance, Dispatch, Invocation, Outcome, Stage
+from cartweir.node import config
+import ground
+
+VALUES = [..., None, 0, 0.0, 1, 3.5, 1e9, -1, 1e400, float("nan"), True, False, "", "x", [], [0.5], {}, [{}], {"a": 1}]
+PATHS = sorted({path for path, _, _ in SETTINGS.values()} | {
+    "classes", "parties", "failureDomains", "registryMode", "report", "worthBy", "allowed", "safety", "familyInfo",
+    *(f"classes.{number}.{name}" for number in (0, 1, 2) for name in (
+        "name", "effect", "dedupScope", "window", "aim", "hardLimit", "worth", "lateValue", "stream")),
+    "parties.0.name", "parties.0.quotaRps"})
+
+
+def settings_with(path, value):
+    settings = copy.deepcopy(ground.SETTINGS)
+    settings["parties"] = [{"name": "acme", "portion": 1.0, "quotaRps": 50.0}]
+    place, (*steps, last) = settings, path.split(".")
+    for step in steps:
+        place = place[int(step)] if isinstance(place, list) else place.setdefault(step, {})
+    if value is ...:
+        place.pop(last, None)
+    else:
+        place[last] = value
+    return settings
+
+
+class Door:
+    """Carries nothing out, and notes what was asked."""
+
+    def __init__(self):
+        self.dispatched, self.answers = [], []
+
+    def dispatch(self, dispatch: Dispatch) -> None:
+        self.dispatched.append(dispatch)
+
+    def throttle(self, inv, retry_after):
+        self.answers.append(inv)
+
+    def terminate(self, inv):
+        self.answers.append(inv)
+
+    def __getattr__(self, name):
+        return lambda *arguments: None
+
+
+def play(known):
+    """A little of each event: lists with warm and cold ones, stages with votes, invocations that end in every way."""
+    door = Door()
+    engine = Engine(1_000_000, 7, known, door)
+    agent, now, taken = engine.agent, 1_000_000, []
+    fleet = [Appliance(f"s{number}", 1 + number % 2, started=(0, 1_100_000)[number % 2], weight=(1.0, 0.5)[number % 2])
+             for number in range(6)]
+    agent.on_list("whole", fleet)
+    for number in range(len(known["shares"])):
+        agent.on_stage(Stage(2, number, ours.ON_TRIAL, known["caps"][number], 0))
+    ends = (ours.SUCCEEDED, ours.ERROR, ours.RESET, ours.TIMEOUT, ours.FULL, ours.UNCONNECTED, ours.MOOT)
+    for turn in range(60):
+        now += 100_000
+        engine.enter(now)
+        engine.alarm()
+        operation = known["operations"][turn % len(known["operations"])]
+        inv = Invocation(turn, operation, now, now + min(2_000_000, operation.time_limit), "acme", key=f"k{turn % 3}")
+        taken.append(inv)
+        engine.take(inv)
+        for dispatch in [dispatch for dispatch in door.dispatched if dispatch.ended is None]:
+            how = ends[(turn + dispatch.number) % len(ends)]
+            if how == ours.SUCCEEDED and dispatch.invocation not in door.answers:
+                door.answers.append(dispatch.invocation)
+            engine.outcome(Outcome(dispatch, how, 50_000, dispatch.invocation in door.answers))
+            engine.settle()
+    for answer in ("ok", "full", "moot", "error", "timeout"):
+        if known["shares"]:
+            agent.on_stage(Stage(2, 0, ours.ON_TRIAL, known["caps"][0], 0, answer))
+    for _ in range(300):
+        now += 50_000
+        engine.enter(now)
+        engine.alarm()
+        engine.settle()
+    return taken, door
+
+
+def whole_config(tmp_path, settings):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
+                                "pipeline": {"address": "127.0.0.1:2"}, "settings": settings}))
+    return config.read({"EDGE_CONFIG": str(file)}).known
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_any_value_of_any_setting_serves_or_is_refused_in_one_clear_line(path, tmp_path):
+    for value in VALUES:
+        try:
+            known = whole_config(tmp_path, settings_with(path, value))
+        except config.ConfigError as error:
+            assert "config.json: settings." in str(error) and " due" in str(error) and "\n" not in str(error), error
+            continue
+        taken, door = play(known)
+        for inv in taken:
+            assert door.answers.count(inv) == 1, (path, value, inv)
+
+
+@pytest.mark.parametrize("words", [{"effect": "idempotent"}, {"dedupScope": "region", "effect": "dedup"}], ids=str)
+def test_words_that_are_not_known_are_named_with_those_that_are(words, tmp_path):
+    settings = copy.deepcopy(ground.SETTINGS)
+    settings["classes"][1].update(words)
+    with pytest.raises(config.ConfigError) as found:
+        whole_config(tmp_path, settings)
+    (key, value) = next(iter(words.items()))
+    assert f"settings.classes[1].{key}: {value!r}; one of " in str(found.value)
+
+
+def test_every_control_scope_and_shape_that_the_settings_know_is_played():
+    for control in ("first_voice", "by_count", "automatic"):
+        for style in ("parallel", "replace"):
+            for per in ("all", "each_class"):
+                for scope in ("all", "zone", "cell"):
+                    settings = copy.deepcopy(ground.SETTINGS)
+                    settings["familyInfo"].update(control=control, style=style, per=per, closedStages=1,
+                                                  autoAfter=5000.0, toPause=1)
+                    settings["classes"][1]["dedupScope"] = scope
+                    taken, door = play(known_from(settings))
+                    assert sorted(inv.ident for inv in door.answers) == [inv.ident for inv in taken]
+
+
+def test_a_setting_that_can_not_be_read_tells_its_place():
+    with pytest.raises(SettingError) as found:
+        known_from({"safety": {"fall": "soon"}})
+    assert str(found.value) == "safety.fall: 'soon'; a time in milliseconds is due"
+
+
+def test_an_appliance_that_begins_at_nothing_can_be_weighed_in_the_moment_of_its_start():
+    settings = copy.deepcopy(ground.SETTINGS)
+    settings["safety"]["coldFrom"] = 0.0
+    door, known = Door(), known_from(settings)
+    engine = Engine(4_000_000, 7, known, door)
+    engine.agent.on_list("whole", [Appliance("s0", 1, started=1_000_000), Appliance("s1", 1, started=4_000_000)])
+    engine.agent.on_stage(Stage(1, 2, ours.RELEASED, 1.0, 0))
+    engine.agent.credit = -0.01             # what the invocation earns makes up for it
+    engine.take(Invocation(1, known["operations"][0], 4_000_000, 6_000_000))
+    assert [dispatch.appliance.ident for dispatch in door.dispatched] == ["s0"]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -475,13 +475,14 @@
 
 
 GOOD = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-        "pipeline": {"address": "127.0.0.1:2"}, "settings": {"classes": [{"name": "view"}]}}
+        "pipeline": {"address": "127.0.0.1:2"}, "settings": {"classes": [{"name": "view", "hardLimit": 3000}]}}
 
 
 @pytest.mark.parametrize("change,reason", [
     ({"listen": "here"}, "listen: 'here': host:port is due"), ({"seed": "no"}, "seed: 'no'; a hexadecimal number is due"),
     ({"seed": None}, "seed: 'None'"), ({"settings": {}}, "settings.classes is empty"),
-    ({"settings": {"classes": [{}]}}, "settings are malformed"), ({"pipeline": {}}, "address is missing; host:port is due"),
+    ({"settings": {"classes": [{}]}}, "settings.classes[0].name: 'None'; a name that no other has is due"),
+    ({"settings": {"classes": [{"name": "view"}]}}, "settings.classes: 'view' has no hardLimit"), ({"pipeline": {}}, "address is missing; host:port is due"),
     ({"peers": ["x"]}, "peers[0]: 'x'")], ids=lambda value: str(value)[:30])
 def test_a_bad_configuration_says_where_and_what(tmp_path, change, reason):
     file = tmp_path / "config.json"
