A connection rests behind each answer: a second copy that comes late is never another's

Seen, by a test that failed before: an appliance writes each answer's second copy 5 ms behind it; at the next request on the connection the copy was taken for its answer ('made for t02' given to t10): lost, by the protocol's rule. At fault: links.py, Link.on_data gave a connection to the next one in the turn of the answer, Pool.free in the next; both look whether anything has come, which tells nothing of what will.

Change: a connection is used again 20 ms after its last answer, not before ('some milliseconds'); whoever waits for one that rests opens no other, and waits 20 ms at most. Ruled out: resting only once a late copy has been seen, as the first one is as wrong as any; a new connection in place of the rest, which has its price.

--- a/cartweir/node/links.py
+++ b/cartweir/node/links.py
@@ -24,6 +24,7 @@
 Note = Callable[..., None]
 SWEEP = 100_000
 FADE = 10_000_000
+REST = 20_000               # microseconds: an answer's second copy may come some milliseconds behind it
 HELD = 1_000                # microseconds in which the loop hears of a client that goes: after that it is asked
 
 
@@ -82,25 +83,33 @@
 
 class Pool:
     """Connections to one address. What finds none waits here, no longer than one may take to be made, and the decisions
-    are asked once more before it goes."""
+    are asked once more before it goes. A connection rests behind each answer: guards against a second copy that comes
+    late, which whoever is next on it would be given."""
 
     def __init__(self, links: Links, address: str) -> None:
         self.links, self.address = links, address
-        self.idle: list[Link] = []              # the one used last goes out first
+        self.idle: list[Link] = []              # the one used last goes out first, once it has rested
         self.opening: set[Connecting] = set()
         self.waiting: deque[_Sent] = deque()
         self.heard = 0                          # when anything last came from there
         self.retired = False
+        self._timer: asyncio.TimerHandle | None = None      # while somebody waits for one that rests
 
     def free(self) -> Link | None:
-        """A connection that nothing has come on since its last answer."""
-        while self.idle:
+        """A connection that has rested, and on which nothing has come since its last answer."""
+        now, resting, found = self.links.now(), [], None
+        while self.idle and found is None:
             link = self.idle.pop()
+            if now - link.used < REST:
+                resting.append(link)
+                continue
             self.links.idle.pop(link, None)
-            if link.socket.quiet() and self.links.now() - link.used < (self.links.trust.limit or 1 << 60):
-                return link
-            link.close()
-        return None
+            if link.socket.quiet() and now - link.used < (self.links.trust.limit or 1 << 60):
+                found = link
+            else:
+                link.close()
+        self.idle += reversed(resting)
+        return found
 
     def send(self, sent: _Sent) -> None:
         link = self.free() if not self.waiting else None
@@ -112,11 +121,21 @@
         self.open_more()
 
     def open_more(self) -> None:
-        while len(self.waiting) > len(self.opening) and self.links.room():
+        """Nobody waits for what is neither on its way nor at rest."""
+        while len(self.waiting) > len(self.opening) + len(self.idle) and self.links.room():
             self.links.count += 1
             connecting = Connecting(self.links.loop, self.address, self.links.reach.connect_timeout,
                                     lambda sock, why: self._connected(connecting, sock, why))
             self.opening.add(connecting)
+        if self.waiting and self.idle and self._timer is None:
+            left = REST - (self.links.now() - self.idle[0].used)
+            self._timer = self.links.loop.call_later(max(0, left) / 1e6, self._rested)
+
+    def _rested(self) -> None:
+        self._timer = None
+        while self.waiting and (link := self.free()) is not None:
+            self.released(link)
+        self.open_more()
 
     def _connected(self, connecting: Connecting, sock: socket.socket | None, why: str) -> None:
         self.opening.discard(connecting)
@@ -125,7 +144,7 @@
             return
         self.links.count -= 1
         self.links.note("unconnected", level="debug", address=self.address, why=why)
-        while len(self.waiting) > len(self.opening):        # nobody else opens one for it
+        while len(self.waiting) > len(self.opening) + len(self.idle):       # nobody else opens one for it
             self.waiting.popleft().unsent()
 
     def released(self, link: Link) -> None:
@@ -144,12 +163,18 @@
                 link.close()
                 self.open_more()
                 return
+        self.answered(link)
+
+    def answered(self, link: Link) -> None:
+        """A connection that carries nothing."""
         if self.retired:
             link.close()
         elif not link.socket.closed:
             link.used = self.links.now()
             self.idle.append(link)
             self.links.idle[link] = None
+        if self.waiting:
+            self.open_more()
 
     def doubt(self) -> None:
         """Guards against a machine that has vanished: its idle connections stay open and silent. A new one tells."""
@@ -199,11 +224,7 @@
         if self.socket.unsent or not answer.stays or self.reader.surplus:
             self.close()
         else:
-            try:
-                self.pool.released(self)
-            except Exception:                   # a fault of ours with whoever waited: this answer is good all the same
-                sent.answered(answer)
-                raise
+            self.pool.answered(self)
         sent.answered(answer)
 
     def on_sent(self) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 from cartweir import interface as ours
 from cartweir.hosting import tcp
 from cartweir.node import config, front, links
-from ground import SETTINGS, Appliance, Discovery, Held, ask, entry, good, ground
+from ground import SETTINGS, Appliance, Discovery, Held, ask, entry, good, ground, read_request
 from test_calls import sockets
 
 LARGE = bytes(60_000)
@@ -374,7 +374,6 @@
         self.plan = plan
 
     async def _serve(self, reader, writer):
-        from ground import read_request
         while True:
             request = await read_request(reader)
             self.requests.append(request)
@@ -440,6 +439,42 @@
         assert came == [f"p{cut:03d}" for cut in range(1, len(whole))]
 
 
+class Twice(Appliance):
+    """Each answer's second copy comes 5 ms behind it, or just before the next answer on its connection."""
+
+    def __init__(self):
+        super().__init__()
+        self.copies = 0
+
+    async def _serve(self, reader, writer):
+        last = []
+
+        def copy():
+            if last:
+                writer.write(last.pop())
+                self.copies += 1
+        while True:
+            request = await read_request(reader)
+            self.requests.append(request)
+            copy()
+            last.append(good(b"made for " + request[1]["x-request-id"].encode()))
+            writer.write(last[0])
+            asyncio.get_running_loop().call_later(0.005, copy)
+
+
+@sockets
+async def test_a_second_copy_some_milliseconds_late_is_never_anothers():
+    async with ground(Twice()) as it:
+        clients = [Raw(it.address) for _ in range(3)]
+        for turn in range(10):
+            for number, client in enumerate(clients):
+                client.write(ask(f"t{turn}{number}"))
+            for number, client in enumerate(clients):
+                status, _, body = await client.answer()
+                assert status == 429 or (status, body) == (200, b"made for t%d%d" % (turn, number))
+        assert it.appliances[0].copies
+
+
 # ---- faults of our own ------------------------------------------------------------------------------------------------
 @pytest.mark.parametrize("where", ["pick", "give_up", "observe", "may_retry"])
 @sockets
