What is owed for longer than until SIGKILL is answered before it; floods and readiness tested

Now what is still owed 0.1 s before that is answered as the decisions give up: throttled where that is true, so that its client goes elsewhere at once (daemon.py, _check_end; Seat.give_up_all was there for the gRPC agent).

Tests: for each effect; readiness of the program itself (the first request behind the first 200 is served by the list it holds, with discovery away); floods by hundreds of connections, half bodies, garbage, endless heads and one id, again right after they were turned away: under 256 descriptors, 32 MiB more at most, a usual client answered throughout.

--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -136,6 +136,10 @@
     def _check_end(self) -> None:
         if self.front.busy or self.seat.calls:
             self.loop.call_later(END_CHECK / 1e6, self._check_end)
+            if self.seat.calls and self.clock.now() >= self.front.ends_by:
+                # time limits of other customers are longer than what is left: an answer that tells where to go beats none
+                self.note("giving_up", level="warning", held=len(self.seat.calls))
+                self.seat.give_up_all()
         else:
             self.note("stopped", refused=self.front.refused, evicted=self.front.evicted)
             self.ended.set()
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -185,7 +185,7 @@
         self.draining = False
         self.refused = self.evicted = 0
         self.longest = max((operation.time_limit for operation in seat.operations.values()), default=0)
-        self._last = 0                          # when the end is forced, once the word has come
+        self.ends_by = 0                        # once the word has come: what is owed is answered until then
         self._listener: socket.socket | None = None
         self._door = True                       # whether connections are taken in at present
 
@@ -306,7 +306,7 @@
         if not limit:
             raise Malformed(400, "no time limit, such as 480m")
         if self.draining:                       # answered before the end is forced
-            limit = max(1, min(limit, self._last - arrived))
+            limit = max(1, min(limit, self.ends_by - arrived))
         if ident in self.calls:
             raise Malformed(409, "a request with this id is open")
         hint, further = request.header(names.HINT), names.further_of(request.header(names.FURTHER))
@@ -327,14 +327,14 @@
         """Answers end their connections from now on. Connections keep coming for a while, and clients that stay idle
         learn by the end of theirs that they are to go elsewhere."""
         self.draining = True
-        self._last = self.clock.now() + min(self.longest, LAST[0]) + LAST[1]
+        self.ends_by = self.clock.now() + min(self.longest, LAST[0]) + LAST[1]
         self.loop.call_later(LATE_COMERS / 1e6, self._stop)
 
     def _stop(self) -> None:
         """A listener that closes resets whoever waits outside, with what they have asked already: they come in first."""
         if self._listener is None:
             return
-        if not self._accept(1024) and self.clock.now() < self._last - LAST[1]:
+        if not self._accept(1024) and self.clock.now() < self.ends_by - LAST[1]:
             self.loop.call_later(CROWD / 1e6, self._stop)
             return
         self._close_door()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -208,7 +208,25 @@
         client.write(ask("late", X_Timeout="3000m"))
         status, head, _ = await client.answer()
         assert status == 429 and b"Connection: close" in head
-        assert it.daemon.clock.now() < it.daemon.front._last
+        assert it.daemon.clock.now() < it.daemon.front.ends_by
+
+
+@pytest.mark.parametrize("operation,status", [("view", 429), ("order", 429), ("issue", 500)])
+@sockets
+async def test_what_is_owed_for_longer_than_is_left_is_answered_before_the_end_is_forced(operation, status, monkeypatch):
+    """Taken before SIGTERM, with a time limit beyond SIGKILL: told where to go, as far as that is true."""
+    monkeypatch.setattr(front, "LAST", (50_000, 50_000))
+    monkeypatch.setitem(SETTINGS, "classes", [{**one, "hardLimit": 60_000.0, "aim": 50_000.0} for one in SETTINGS["classes"]])
+    held = Held()
+    async with ground(held) as it:
+        client = Raw(it.address)
+        client.write(ask("long", operation, X_Timeout="50000m"))
+        await held.got(1)
+        it.daemon.terminate()
+        assert (await client.answer())[0] == status
+        assert await client.ended() and held.requests == ["long"]
+        client.socket.close()
+        await it.daemon.ended.wait()
 
 
 @sockets
@@ -746,3 +764,62 @@
     client.socket.close()
     rest = (await process.stderr.read()).decode()
     assert await process.wait() == 0 and "stopped" in rest and "Traceback" not in rest, rest
+
+
+@sockets
+async def test_readiness_is_told_as_soon_as_a_request_is_served(tmp_path):
+    """Discovery is away: by the list that the configuration holds, the first request behind the first 200 is served."""
+    appliance = await Appliance().start()
+    process, listen, _ = await program(tmp_path, known={"index": 1, "snapshot": True, "endpoints": [entry("s0", appliance)]})
+    await lines_until(process, "started")
+    client = Raw(listen)
+    client.write(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert (await client.answer())[0] == 200
+    client.write(ask("first"))
+    assert (await client.answer())[::2] == (200, b"made for first")
+    process.send_signal(signal.SIGTERM)
+    client.socket.close()
+    assert await process.wait() == 0
+    appliance.stop()
+
+
+@sockets
+async def test_floods_leave_memory_descriptors_and_usual_clients_as_they_are(tmp_path):
+    """Connections, half bodies, garbage, endless heads and one id by hundreds, and again right after they were turned away."""
+    appliance = await Appliance().start()
+    process, listen, _ = await program(tmp_path, known={"index": 1, "snapshot": True, "endpoints": [entry("s0", appliance)]})
+    await lines_until(process, "started")
+
+    def of(name):
+        status = open(f"/proc/{process.pid}/status").read()
+        return int(next(line for line in status.splitlines() if line.startswith(name)).split()[1])
+    usual = Raw(listen)
+    usual.write(ask("u"))
+    assert (await usual.answer())[0] == 200
+    before, most = of("VmRSS"), 0
+    flood = [ask("same"), ask("half", "order", Content_Length="60000") + bytes(50_000), b"\x16\x03\x01" + bytes(500),
+             b"GET /view HTTP/1.1\r\nA: " + b"b" * 15_000, b""]
+    for turn in range(6):
+        crowd = []
+        for number in range(100):
+            one = Raw(listen)
+            one.socket.setblocking(False)
+            try:
+                one.socket.send(flood[number % len(flood)])
+            except OSError:
+                pass                                    # it was turned away already
+            crowd.append(one)
+            if number % 10 == 0:
+                usual.write(ask(f"u{turn}-{number}"))
+                status, _, body = await usual.answer()
+                assert status in (200, 429)
+                most = max(most, len(os.listdir(f"/proc/{process.pid}/fd")))
+        for one in crowd:
+            one.socket.close()
+    assert most <= 256 and of("VmRSS") < before + 32 * 1024, (most, before, of("VmRSS"))
+    usual.write(ask("last"))
+    assert (await usual.answer())[::2] == (200, b"made for last")
+    usual.socket.close()
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
+    appliance.stop()
