--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -493,6 +493,43 @@
         assert it.appliances[0].copies
 
 
+@pytest.mark.parametrize("what", ["time-out", "client gone", "drain notice"])
+@pytest.mark.parametrize("operation", ["view", "order", "issue"])
+@sockets
+async def test_an_answer_that_crosses_the_end_of_its_wait(operation, what):
+    """It is in the kernel as the wait for it ends: one final answer, which is this one or none of this one, and no effect twice."""
+    held = Held()
+    async with ground(held, Appliance()) as it:
+        await it.noted("list")
+        it.discovery.tell(entry("s1", it.appliances[1], status="draining"))
+        await until(lambda: it.daemon.seat.roster.appliances["s1"].state == ours.DRAINING)
+        client = Raw(it.address)
+        client.write(ask("crossing", operation))
+        await held.got(1)
+        (inv,), (attempt,) = it.daemon.seat.calls, it.daemon.seat.attempts.values()
+        it.discovery.tell(entry("s1", it.appliances[1]))
+        await until(lambda: it.daemon.seat.roster.appliances["s1"].state == ours.READY)
+        held.writers[-1].write(good(b"late"))           # goes to the kernel at once
+        if what == "time-out":
+            attempt._out_of_time()
+        elif what == "drain notice":
+            it.daemon.discovery._listing({"index": 9, "snapshot": False,
+                                          "endpoints": [entry("s0", held, status="draining")]})
+        else:
+            client.socket.close()
+            await until(lambda: not it.daemon.seat.calls)
+            assert held.requests == ["crossing"] and not it.appliances[1].requests
+            return
+        status, _, body = await client.answer()
+        again = [headers["x-request-id"] for _, headers, _ in it.appliances[1].requests]
+        if what == "drain notice":
+            assert (status, body, again) == (200, b"late", [])
+        elif operation == "issue":
+            assert (status, again) == (500, [])
+        else:
+            assert (status, body, again) == (200, b"made for crossing", ["crossing"]) or (status, again) == (429, [])
+
+
 # ---- faults of our own ------------------------------------------------------------------------------------------------
 @pytest.mark.parametrize("where", ["pick", "give_up", "observe", "may_retry"])
 @sockets
@@ -656,6 +693,27 @@
         assert len(it.discovery.asked) == 1
 
 
+@sockets
+async def test_addresses_that_change_and_change_back_leave_one_watch_and_one_listener():
+    """SIGHUP to the same address, to another, and back before that one has told anything; a word on the old watch between."""
+    async with ground(Appliance()) as it, ground(Appliance()) as other:
+        await it.noted("list")
+        await until(lambda: it.desk.listeners)
+        mine = it.daemon.config
+        for known in (mine, other.daemon.config, mine):
+            it.daemon.reread = lambda known=known: known
+            it.daemon.reload()
+            it.discovery.tell(entry("s0", it.appliances[0], weight=0.5))
+        await until(lambda: len(it.desk.listeners) == 2 and len(it.discovery.watches) >= 2)
+        it.discovery.tell(entry("s0", it.appliances[0], status="draining"))
+        it.desk.tell("news", build=2, stage=0, phase="testing", cap=0.2, age_ms=1)
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.DRAINING and
+                    it.daemon.seat.engine.agent.stage.build == 2)
+        old, new = it.discovery.watches[0], it.discovery.watches[-1]
+        await until(lambda: old.transport.is_closing() or not it.daemon.discovery._watch.done())
+        assert not new.transport.is_closing() and not any(event == "discovery_lost" for event, _ in it.notes)
+
+
 # ---- the desk ------------------------------------------------------------------------------------------------------------
 @pytest.mark.parametrize("field", ["build", "stage", "phase", "cap", "age_ms"])
 @pytest.mark.parametrize("junk", JUNK[2:], ids=str)
@@ -685,6 +743,28 @@
         await until(lambda: "timeout" in told)
 
 
+@pytest.mark.parametrize("crossing", ["move", "drain"])
+@sockets
+async def test_a_vote_that_is_out_as_the_desk_moves_or_the_end_comes_is_told_once(crossing, monkeypatch):
+    monkeypatch.setattr(front, "LATE_COMERS", 1_000)
+    async with ground(Appliance()) as it, ground(Appliance()) as other:
+        told, staged, calls = [], it.daemon.seat.staged, []
+        it.daemon.seat.staged = lambda stage: (told.append(stage.answer), staged(stage))
+        it.desk.vote = lambda call: calls.append(call) or b""
+        await until(lambda: it.desk.listeners)
+        it.daemon.vote(2, 0, "on")
+        await until(lambda: calls)
+        if crossing == "move":
+            it.daemon.reread = lambda: other.daemon.config
+            it.daemon.reload()
+        else:
+            it.daemon.terminate()
+            await it.daemon.ended.wait()
+        it.desk.writers[-1].write(json.dumps({"jsonrpc": "2.0", "id": calls[0]["id"], "result": {
+            "build": 2, "stage": 0, "phase": "testing", "cap": 0.2, "age_ms": 3}}).encode() + b"\n")
+        assert (await it.noted("vote"))["answer"] == "ok" and told.count("ok") == 1
+
+
 @sockets
 async def test_a_connection_that_is_given_up_while_it_is_made_leaves_no_descriptor():
     full, crowd = socket.create_server(("127.0.0.1", 0), backlog=0), [socket.socket() for _ in range(4)]
