Changes of another life of discovery are asked anew; a fault with another leaves a call linked

On reading the mends again: changes with a version below the held one were left out for ever where discovery had begun anew at a lower one (now the whole list is asked for); a weight of 0 counted as not told, so as 1; an exception raised by another invocation's settling left the new call without its invocation, so that its client's leaving was not heard. A test for each but the weight's, which is in the first's.

--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -156,7 +156,10 @@
         whole = bool(told.get("snapshot"))
         if version is not None and self.version is not None and version < self.version and (overtaken or not whole):
             self.note("list_old", level="warning", version=version, held=self.version)
-            return                  # of a call from before what is held now; a whole one may be discovery's new life
+            if overtaken:
+                return              # of a call from before what is held now
+            self.version = None     # changes of another life of discovery: asked anew, for the whole list
+            raise ValueError(f"changes up to {version} where more was told before")
         self._apply("whole" if whole else "changes", told["endpoints"])
         self.version, self._told = version, self._told + 1
         if self.waits is not None:
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -117,6 +117,8 @@
         except Exception:                       # a fault of ours, which the loop tells of: it is answered all the same
             if self.asked and self.call is None:
                 self.refuse(500, "an error of the agent")
+            elif self.call is not None:         # the fault was another's: this one is under way
+                self.call.invocation = next((inv for inv, call in self.front.seat.calls.items() if call is self.call), None)
             raise
 
     def on_lost(self, why: str) -> None:
--- a/cartweir/node/names.py
+++ b/cartweir/node/names.py
@@ -88,16 +88,16 @@
             unread.append(str(entry)[:120])
             continue
 
-        def of(field: str, kinds: tuple, least: float = 0) -> Any:
+        def of(field: str, *kinds: type) -> Any:
             value = entry.get(field)
-            if value is None or (type(value) in kinds and (kinds == (str,) or least <= value < 1e15)):
+            if value is None or (type(value) in kinds and (str in kinds or 0 <= value < 1e15)):
                 return value
             unread.append(f"{field} of {name[:60]}: {str(value)[:60]}")
             return None
-        since, weight = of("since_ms", (int, float)), of("weight", (int, float), 1e-6)
+        since, weight = of("since_ms", int, float), of("weight", int, float)
         started = None if since is None else max(1, now - max(0, round((wall - since) * 1000))) if since else 0
-        state = of("status", (str,))
-        rows.append((Row(name, of("release", (int,)), since, started,
+        state = of("status", str)
+        rows.append((Row(name, of("release", int), since, started,
                          ours.READY if state is None and entry.get("status") is None else STATES.get(state, ours.DRAINING),
-                         of("zone", (str,)), of("group", (int,)), of("type", (str,)), weight), of("address", (str,)) or ""))
+                         of("zone", str), of("group", int), of("type", str), weight), of("address", str) or ""))
     return rows, unread
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -558,6 +558,30 @@
         assert (await client.answer())[::2] == (200, b"fine") and not it.daemon.seat.calls
 
 
+@sockets
+async def test_a_fault_with_another_leaves_a_new_one_under_way():
+    """Raised as what was woken along with a request is dealt with: the request is served, and its client's leaving is heard."""
+    held = Held()
+    async with ground(held) as it:
+        await it.noted("list")
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
+        engine, raised = it.daemon.seat.engine, []
+        settle = engine.settle
+
+        def faulty():
+            settle()
+            if engine.agent.open and not raised:
+                raised.append(True)
+                raise KeyError("on purpose")
+        engine.settle = faulty
+        client = Raw(it.address)
+        client.write(ask("a"))
+        await held.got(1)
+        assert raised
+        client.socket.close()
+        await until(lambda: not it.daemon.seat.calls and not it.daemon.front.clients)
+
+
 @sockets
 async def test_a_fault_as_a_request_is_read_is_answered(monkeypatch):
     async with ground(Appliance()) as it:
@@ -655,6 +679,20 @@
         server.close()
 
 
+@sockets
+async def test_changes_of_another_life_of_discovery_are_not_mixed_with_what_is_held():
+    """Their version is below what was told before: the whole list is asked for."""
+    async with ground(Appliance(), Appliance()) as it:
+        await it.noted("list")
+        it.discovery.index = 40
+        it.discovery.tell(entry("s0", it.appliances[0], weight=0.0))
+        await until(lambda: it.daemon.discovery.version == 41 and it.daemon.seat.roster.appliances["s0"].weight == 0.0)
+        it.discovery.index, it.discovery.endpoints = 2, [entry("s1", it.appliances[1])]
+        it.discovery.tell(entry("s0", it.appliances[0]))
+        await until(lambda: it.daemon.seat.roster.appliances["s0"].state == ours.GONE)
+        assert it.discovery.asked[1].startswith("GET /api/targets?watch=1 ")
+
+
 @sockets
 async def test_where_lists_are_pushed_the_watch_comes_back_by_itself(monkeypatch):
     """Discovery is away as the agent starts; it was never told anything, and nobody asks in its place."""
