--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -285,6 +285,27 @@
         assert "gone" not in held.requests and "last" in held.requests
 
 
+@pytest.mark.parametrize("how", ["close", "reset"])
+@sockets
+async def test_a_client_that_goes_while_its_answer_is_written_leaves_nothing_behind(how, narrow):
+    """The kernel has taken a part: its place is free, nothing goes out again, and the next one is served."""
+    async with ground(Appliance(lambda *request: good(LARGE))) as it:
+        faults = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        client = Raw(it.address, narrow=True)
+        await accepted(it, 1)
+        inside = the_client(it)
+        client.write(ask("gone", "issue"))
+        await until(lambda: inside.served)
+        assert inside.socket.unsent
+        client.socket.close() if how == "close" else client.reset()
+        await until(lambda: not it.daemon.front.clients)
+        other = Raw(it.address)
+        other.write(ask("other"))
+        assert (await other.answer())[::2] == (200, LARGE)
+        assert [headers["x-request-id"] for _, headers, _ in it.appliances[0].requests] == ["gone", "other"] and not faults
+
+
 class Late(tcp.Connecting):
     """A connection that is ready when the test says so."""
     made: list[Late] = []
