--- a/cartweir/cli/__init__.py
+++ b/cartweir/cli/__init__.py
@@ -16,6 +16,7 @@
 from .controller import app as controller
 from .model import app as model
 from .scale import app as scale
+from .soak import soak
 from .standin import app as standin
 
 app = typer.Typer(
@@ -30,6 +31,7 @@
 app.add_typer(model, name="model")
 app.add_typer(scale, name="scale")
 app.add_typer(standin, name="standin")
+app.command()(soak)
 
 SettingsFile = Annotated[Path, typer.Option("--settings", "-s", help="The agent's INI file.", metavar="FILE")]
 
--- /dev/null
+++ b/cartweir/soak/plan.py
@@ -0,0 +1,72 @@
+"""The faults of one process at its boundary to the machine, as data that fits in a file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+SHORT = "SHORT"  # in place of an errno: the call transfers a part of what it could
+BROKEN = ("ETIMEDOUT", "EHOSTUNREACH")  # errors of a connection that has broken
+
+
+@dataclass(frozen=True)
+class ClockStep:
+    """A step of the wall clock.
+
+    Attributes:
+        at: When it happens, in microseconds of the monotonic clock.
+        seconds: How far the clock is set forward; below 0: back.
+    """
+
+    at: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class CallFault:
+    """A system call that fails for a while.
+
+    Attributes:
+        call: One of accept, connect, socket, send, recv, open and log (writes to standard error).
+        error: Name of the errno, or SHORT.
+        begins_at: From when on, in microseconds of the monotonic clock.
+        ends_at: Until when.
+        share: The share of the calls that fail.
+    """
+
+    call: str
+    error: str
+    begins_at: int
+    ends_at: int
+    share: float
+
+
+@dataclass(frozen=True)
+class ProcessPlan:
+    """All faults of one process.
+
+    Attributes:
+        seed: Which of the calls fail is drawn from it.
+        steps: Steps of the wall clock.
+        calls: System calls that fail.
+    """
+
+    seed: int = 0
+    steps: Sequence[ClockStep] = field(default=())
+    calls: Sequence[CallFault] = field(default=())
+
+    def write(self, path: Path) -> None:
+        """Writes the plan to a file."""
+        path.write_text(json.dumps(asdict(self)))
+
+    @classmethod
+    def read(cls, path: Path) -> ProcessPlan:
+        """Reads a plan that `write` has written."""
+        found = json.loads(path.read_text())
+        return cls(
+            found["seed"],
+            tuple(ClockStep(**step) for step in found["steps"]),
+            tuple(CallFault(**fault) for fault in found["calls"]),
+        )
