Starts of servers are dated without the wall clock

Cause: protocol.parse_entries dated a start by time.time() at each list. A clock stepped an hour ahead made a server 0.4 s old an hour old, so warm, and its slow start did not apply; the same where the agent started after the step.

Why this works: node/start_times.py never reads the wall clock. A start that is learnt counts from then; the starts in a process's first list count from the latest of them. So no server is taken for older than it is, whenever clocks are stepped (property test).

--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -20,10 +20,12 @@
 from ..hosting.backoff import Backoff
 from ..hosting.engine_host import EngineHost
 from ..hosting.tcp import READ_SIZE, connect, spawn, split_address
+from ..interface import Appliance
 from . import http1, protocol
 from .appliance_pools import AppliancePools
 from .http1 import HttpError, StreamedResponseParser
 from .jsonstream import JsonStream
+from .start_times import ServerStart, StartTimes
 
 # Times in microseconds.
 CONNECT_TIMEOUT = 1_000_000
@@ -131,6 +133,7 @@
         self.backoff = backoff
         self.version: int | None = None
         self.synchronized = False
+        self._start_times = StartTimes()
         self._applied_count = 0  # lists and deltas applied so far
         self._watch: asyncio.Task | None = None
         self._lost = False
@@ -287,15 +290,26 @@
         self.log_event("list", level="debug", version=self.version, named=len(members["endpoints"]))
 
     def _apply(self, kind: str, entries: Any) -> None:
-        parsed, unreadable = protocol.parse_entries(entries, self.now())
+        parsed, unreadable = protocol.parse_entries(entries)
         if unreadable:
             self.log_event(
                 "list_bad", level="warning", entries=len(unreadable), first=unreadable[0][:MAX_LOGGED_REASON]
             )
-        for entry, address in parsed:
+        starts = [ServerStart(entry.id, entry.run, entry.build) for entry, _ in parsed]
+        dated = self._start_times.date(starts, self.now())
+        for (entry, address), started in zip(parsed, dated, strict=True):
+            entry.started = started
             if address:
                 self.appliance_pools.addresses[entry.id] = address
-        self.appliance_pools.retire_gone(self.engine_host.apply_list(kind, [entry for entry, _ in parsed]))
+        changed = self.engine_host.apply_list(kind, [entry for entry, _ in parsed])
+        self.appliance_pools.retire_gone(changed)
+        self._forget_starts(changed)
+
+    def _forget_starts(self, changed: list[Appliance]) -> None:
+        present = {appliance.id for appliance in changed if appliance.state != ours.GONE}
+        for appliance in changed:
+            if appliance.id not in present:
+                self._start_times.forget(appliance.id)
 
 
 def _release(old: asyncio.Task | None, call: _Call | None) -> None:
--- a/cartweir/node/protocol.py
+++ b/cartweir/node/protocol.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import re
-import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from .. import interface as ours
@@ -132,18 +131,14 @@
     )
 
 
-def parse_entries(
-    entries: Any, now: int, read_clock: Callable[[], float] = time.time
-) -> tuple[list[tuple[ListEntry, str]], list[str]]:
+def parse_entries(entries: Any) -> tuple[list[tuple[ListEntry, str]], list[str]]:
     """Reads discovery's list of appliances.
 
-    An entry without a name is left out. A member of the wrong type counts as missing.
+    An entry without a name is left out. A member of the wrong type counts as missing. An entry's `run` is the
+    Unix time of its start; `started` is left open, see `start_times`.
 
     Args:
         entries: The entries as JSON values.
-        now: The present on the host's clock, in microseconds. The platform gives start times in Unix time,
-            which are converted to this clock.
-        read_clock: Returns Unix time in seconds.
 
     Returns:
         The entries with their addresses, and a description of everything that could not be read.
@@ -155,23 +150,16 @@
         raise ValueError(f"{str(entries)[:80]!r}; expected a list of entries")
     parsed: list[tuple[ListEntry, str]] = []
     unreadable: list[str] = []
-    unix_now = read_clock() * 1000  # milliseconds
     for entry in entries:
         if not isinstance(entry, dict) or not isinstance(name := entry.get("name"), str) or not name:
             unreadable.append(str(entry)[:120])
             continue
-        parsed.append(_parse_entry(entry, now, unix_now, unreadable))
+        parsed.append(_parse_entry(entry, unreadable))
     return parsed, unreadable
 
 
-def _parse_entry(
-    entry: dict[str, Any], now: int, unix_now: float, unreadable: list[str]
-) -> tuple[ListEntry, str]:
-    since = _member(entry, "since_ms", (int, float), unreadable)
+def _parse_entry(entry: dict[str, Any], unreadable: list[str]) -> tuple[ListEntry, str]:
     weight = _member(entry, "weight", (int, float), unreadable)
-    started = (
-        None if since is None else max(1, now - max(0, round((unix_now - since) * 1000))) if since else 0
-    )
     status = _member(entry, "status", (str,), unreadable)
     state = (
         ours.READY if status is None and entry.get("status") is None else STATES.get(status, ours.DRAINING)
@@ -179,8 +167,8 @@
     list_entry = ListEntry(
         id=entry["name"],
         build=_member(entry, "release", (int,), unreadable),
-        run=since,
-        started=started,
+        run=_member(entry, "since_ms", (int, float), unreadable),
+        started=None,
         state=state,
         zone=_member(entry, "zone", (str,), unreadable),
         cell=_member(entry, "group", (int,), unreadable),
--- a/cartweir/scale/node_lists.py
+++ b/cartweir/scale/node_lists.py
@@ -11,7 +11,6 @@
 from ..node.jsonstream import JsonStream
 from .meter import Meter, metering
 from .surroundings import (
-    SECOND,
     RecordingEnvironment,
     address_of,
     make_engine_host,
@@ -61,5 +60,5 @@
         with metering(meter):
             for piece in pieces:
                 for told in stream.feed(piece):
-                    rows, _ = protocol.parse_entries(told["endpoints"], SECOND)
+                    rows, _ = protocol.parse_entries(told["endpoints"])
                     self.engine_host.apply_list("whole", [row for row, _ in rows])
