Slow start: a cold server gets its own part, not that of cold ones that are down

Cause: Agent.warm_up earned one credit for all cold servers by the weight of all of them; may_go and _draw spent it on whichever could be reached (ejected ones were skipped, connected ones preferred).

Why this works: logic/slow_start.py earns for cold servers that are not ejected, each its own part, and whenever a dispatch is earned, chance names by these parts the one server that may get it. If that one cannot be used, the dispatch lapses; nobody else gets it.

Tried first: the place of the credit between 0 and the rate in place of a new draw.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -39,7 +39,6 @@
 )
 from ..state import FLAG_COUNTS, AgentState, ApplianceHealth, SharedCounts
 from .builds import exposure_cap, is_judged, runs_newest_build
-from .cold_start import warmth
 from .count_exchange import CountExchange
 from .evidence import Evidence
 from .exposure import make_budgets, within_limits
@@ -47,6 +46,7 @@
 from .list_lease import ListLease
 from .overload import adjust_concurrency_limit, raise_limit_to_fleet
 from .selection import CHOICES, MOST_AVOIDED, load_score, preferred, to_probe
+from .slow_start import SlowStart, warmth
 from .subscription import ListSubscription
 from .timing import MILLISECOND, SECOND, STALL_TIME
 from .voting import Voting, draw_voter
@@ -65,11 +65,6 @@
 SAMPLE = 8  # random appliances that are looked at before the whole side is
 MAX_WOKEN = 4  # held invocations that are woken at a time
 
-MAX_TAKEN = 40  # invocations taken, at which the counts of them and of those that succeeded are halved
-COLD_FALL_PART = 0.55  # of the multiple at which a cold appliance falls over: what it gets at most
-COLD_MULTIPLE = 2  # of its even part
-IN_PLACE_REDUCTION = 0.5  # of this multiple, where builds change in place
-
 KEY_PART = 0.7  # of the cap: what one-way keys may bind
 MAX_TRIAL_DEFICIT = 2.0
 
@@ -95,12 +90,14 @@
         count_exchange: counts that are exchanged with other agents.
         list_lease: whether the list of appliances may be relied on.
         list_subscription: the subscription to that list.
+        slow_start: what cold appliances may get.
     """
 
     def __init__(self, host: Host, settings: Mapping[str, Any], rng: random.Random) -> None:
         super().__init__(host, settings, rng, retry_budget=INITIAL_RETRY_BUDGET)
         self._least_value = min((o.billed_value for o in settings["operations"]), default=1.0) or 1.0
-        self.cold_credit, self.trial_deficit = rng.random() - 1, rng.random()
+        self.slow_start = SlowStart(self)
+        self.trial_deficit = rng.random()
         self.evidence = Evidence(self)
         self.voting = Voting(self, self.evidence)
         self.count_exchange = CountExchange(self, self.evidence, self.voting)
@@ -156,7 +153,7 @@
         """
         self.lowest_build = min((a.build for a in self.fleet), default=0)
         self.trial_appliances, self.earlier_appliances = [], []
-        self.cold_appliances = [a for a in self.fleet if warmth(self, a) < 1.0]
+        self.slow_start.regroup()
         for appliance in self.fleet:
             on_trial = exposure_cap(self, appliance) is not None
             (self.trial_appliances if on_trial else self.earlier_appliances).append(appliance)
@@ -254,32 +251,6 @@
             record_answer(self, appliance.decision_state, load, duration, probe=True)
 
     # ---- which appliance ----
-    def warm_up(self) -> None:
-        """Counts an invocation taken, which earns dispatches to cold appliances.
-
-        Guards cold appliances against the sum of all agents: an invocation earns their even part of it, cut
-        to what is warm and to what succeeds. Whole dispatches come of it in time.
-        """
-        self.taken += 1
-        if self.taken > MAX_TAKEN:
-            self.taken, self.succeeded = MAX_TAKEN / 2, self.succeeded / 2
-        self.cold_credit_rate = 0.0
-        if self.cold_appliances:
-            self.cold_appliances = [
-                a for a in self.cold_appliances if a.state == READY and warmth(self, a) < 1.0
-            ]
-            part = sum(a.weight * warmth(self, a) for a in self.cold_appliances) / self.usual_weight
-            served = min(1.0, (self.succeeded + 2) / (self.taken + 2))
-            if self.cold_credit >= 0:
-                # Credit that is not spent at once lapses, or all agents would save up for a burst.
-                self.cold_credit = self.rng.random() - 1
-            most = min(
-                COLD_MULTIPLE - IN_PLACE_REDUCTION * self.settings["in_place"],
-                self.settings["fall_multiple"] * COLD_FALL_PART,
-            )
-            self.cold_credit_rate = part * served * most
-            self.cold_credit += self.cold_credit_rate
-
     def may_repeat(
         self, invocation: Invocation, appliance: Appliance, leaving: Dispatch | None = None
     ) -> bool:
@@ -315,7 +286,7 @@
         health = appliance.decision_state
         ejected = health.ejected_until > self.host.now or (health.ejections and health.open_dispatches)
         leaving = appliance.state != READY or not self.list_lease.holds(self.host.now)
-        if leaving or ejected or (self.cold_credit < 0 and warmth(self, appliance) < 1.0):
+        if leaving or ejected or not self.slow_start.allows(appliance):
             return False
         return self.may_repeat(invocation, appliance) and within_limits(self, invocation, appliance)
 
@@ -353,11 +324,11 @@
         # A key that the trial answers binds all later invocations with it, which must fit the trial's part.
         bound = invocation.key in self.bound_keys
         bound_share = sum(map(self.bound_keys.__contains__, self.recent_keys)) / (len(self.recent_keys) + 1)
-        if not tried and self.cold_appliances and self.cold_credit >= 0:
+        if not tried and (earned := self.slow_start.earned()):
             room = on_trial and (
-                bound or bound_share < min(part + self.cold_credit_rate / 2, KEY_PART * self.stage.cap)
+                bound or bound_share < min(part + self.slow_start.rate / 2, KEY_PART * self.stage.cap)
             )
-            sides.insert(0, [a for a in self.cold_appliances if room or exposure_cap(self, a) is None])
+            sides.insert(0, [a for a in earned if room or exposure_cap(self, a) is None])
         elif not tried and on_trial and (bound or self.trial_deficit >= 1):
             sides.reverse()
         choices = (
@@ -381,7 +352,7 @@
     def handle(self, invocation: Invocation) -> ActionGenerator:
         """Yields the actions for an invocation until it has its final answer."""
         operation, settings, host = invocation.operation, self.settings, self.host
-        self.warm_up()
+        self.slow_start.earn()
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRIES_PER_INVOCATION)
         self.exposure_budgets[operation].take(host.now)
         if settings["one_way"] and invocation.key:
@@ -469,7 +440,7 @@
         self.open_dispatches += 1
         health.open_dispatches += 1
         health.load += 1
-        self.cold_credit -= warmth(self, appliance) < 1.0
+        self.slow_start.spend(appliance)
         dispatch = Dispatch(appliance, max(timeout, MIN_TIMEOUT), until)
         if exposure_cap(self, appliance) is not None:
             dispatch.decision_state = budget.add(self.host.now)
--- a/cartweir/logic/selection.py
+++ b/cartweir/logic/selection.py
@@ -4,7 +4,7 @@
 
 from ..interface import Appliance
 from ..state import AgentState
-from .cold_start import warmth
+from .slow_start import warmth
 from .timing import SECOND
 
 LOAD_KNOWN_FOR = SECOND  # after a report or an answer
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -210,7 +210,6 @@
         fleet: the appliances that are ready.
         trial_appliances: those of them that run a build on trial.
         earlier_appliances: the others.
-        cold_appliances: those that have not warmed up yet.
         lowest_build: the lowest build of the ready ones.
         earlier_build_gone: no appliance of an earlier build is left.
         usual_weight: weight of the appliances that bear the usual traffic.
@@ -229,8 +228,6 @@
         bound_keys_incomplete: an earlier process may have bound keys that are not known here.
         exposure_budgets: for each operation, the budget of sends to a build on trial.
         recent_keys: one-way keys of the latest invocations.
-        cold_credit_rate: dispatches to cold appliances that one invocation earns.
-        cold_credit: such dispatches earned and not yet used.
         trial_deficit: dispatches that the trial's share comes to, less those that it got.
         keys_out: for a key and a build, when the outstanding dispatches were sent.
         held: invocations that wait for a dispatch to be allowed.
@@ -253,7 +250,6 @@
     fleet: list[Appliance] = field(default_factory=list)
     trial_appliances: list[Appliance] = field(default_factory=list)
     earlier_appliances: list[Appliance] = field(default_factory=list)
-    cold_appliances: list[Appliance] = field(default_factory=list)
     lowest_build: int = 0
     earlier_build_gone: bool = True
     usual_weight: float = 1.0
@@ -272,8 +268,6 @@
     bound_keys_incomplete: bool = False
     exposure_budgets: dict[Operation, WindowBudget] = field(default_factory=dict)
     recent_keys: deque[str] = field(default_factory=lambda: deque(maxlen=128))
-    cold_credit_rate: float = 0.0
-    cold_credit: float = 0.0
     trial_deficit: float = 0.0
     keys_out: dict[tuple, list[int]] = field(default_factory=dict)
     held: list[Invocation] = field(default_factory=list)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -132,8 +132,9 @@
 
 
 def loves_the_cold(daemon):
-    agent = daemon.engine_host.engine.agent
-    agent.warm_up = lambda: setattr(agent, "cold_credit", 1e9)
+    slow_start = daemon.engine_host.engine.agent.slow_start
+    slow_start.allows = lambda appliance: True
+    slow_start.earned = lambda: slow_start.appliances
 
 
 def knows_no_cap(daemon):
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -217,6 +217,6 @@
         "whole", [Appliance("s0", 1, started=1_000_000), Appliance("s1", 1, started=4_000_000)]
     )
     engine.agent.on_stage(Stage(1, 2, ours.RELEASED, 1.0, 0))
-    engine.agent.cold_credit = -0.01  # the credit that the invocation earns makes up for it
+    engine.agent.slow_start.credit = -0.01  # the credit that the invocation earns makes up for it
     engine.accept(Invocation(1, decision_settings["operations"][0], 4_000_000, 6_000_000))
     assert [dispatch.appliance.id for dispatch in sink.dispatched] == ["s0"]
