A subscription that is ended as a message comes ends, and so does the process

Cause: asyncio.wait_for returns the result and drops the cancellation where both come in one turn (Python 3.11). control_plane._messages and _watch_list then wait for the next message for ever, and look for a swallowed cancellation only after an error.

Evidence: test_a_subscription_that_is_ended_as_its_first_message_comes_ends makes that turn; it fails on the state before (task 'cancelling', pending) and passes now.

Why this works: asyncio.timeout keeps a cancellation from outside. The same mistake stood in hosting/tcp.connect, wire/calls.unary and controller/host (propose, run) and is mended there too; what is left of wait_for is in test rigs that end processes.

--- a/cartweir/agent/control_plane.py
+++ b/cartweir/agent/control_plane.py
@@ -170,7 +170,8 @@
             received, advice = False, 0
             try:
                 source = self.channel.stream("/cartweir.v1.Registry/Watch", self._hello())
-                first = await asyncio.wait_for(anext(source), self.timeout / 1e6)
+                async with asyncio.timeout(self.timeout / 1e6):
+                    first = await anext(source)
                 self._on_listing(first)
                 received = True
                 self.backoff.reset()
@@ -189,8 +190,6 @@
             if not self.push:
                 self.engine_host.apply_list("failed")
                 return
-            if asyncio.current_task().cancelling():
-                return  # wait_for may swallow the cancellation, and the process would not end
             await asyncio.sleep(max(self.backoff.next_delay(), advice / 1e6))
 
     def fetch(self) -> None:
@@ -411,8 +410,6 @@
             if received or not self._lost:
                 self._lost = True
                 self.log_event("conveyor_lost", level="warning", why=why)
-            if asyncio.current_task().cancelling():
-                return  # wait_for may swallow the cancellation, and the process would not end
             self._current = self._answered_last = (self._current + 1) % len(self.channels)
             # a member that knows how many agents return tells them when to
             await asyncio.sleep(max(self.backoff.next_delay(), advice / 1e6))
@@ -427,14 +424,14 @@
         source = channel.stream("/cartweir.v1.Conveyor/News", self.hello.SerializeToString())
         while True:
             try:
-                yield await asyncio.wait_for(
-                    anext(source), self.silence / 1e6 if len(self.channels) > 1 else None
-                )
+                async with asyncio.timeout(self.silence / 1e6 if len(self.channels) > 1 else None):
+                    message = await anext(source)
             except StopAsyncIteration:
                 return
             except TimeoutError:
                 channel.close()
                 raise CallError(Status.DEADLINE_EXCEEDED, f"{channel.address} is silent") from None
+            yield message
 
     async def _on_word(self, word: pb.Word) -> None:
         match word.WhichOneof("what"):
--- a/cartweir/controller/host.py
+++ b/cartweir/controller/host.py
@@ -112,7 +112,8 @@
 
         self.schedule(work)
         try:
-            return await asyncio.wait_for(answer, timeout / 1e6)
+            async with asyncio.timeout(timeout / 1e6):
+                return await answer
         except TimeoutError:
             return False, None
 
@@ -168,7 +169,8 @@
             wait = min(max(0, member.next_tick_at - monotonic()), LONGEST_SLEEP)
             if not self._inbox:
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._has_work.wait(), wait / 1e6)
+                    async with asyncio.timeout(wait / 1e6):
+                        await self._has_work.wait()
             self._has_work.clear()
             inbox, self._inbox = self._inbox, []
             for work in inbox:
--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -50,7 +50,8 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     stream = ReadOnReadyStream(socket.socket(family, socket.SOCK_STREAM), max_buffer_size=4 * READ_SIZE)
     try:
-        await asyncio.wait_for(stream.connect((host, port)), timeout / 1e6)
+        async with asyncio.timeout(timeout / 1e6):  # asyncio.wait_for may swallow a cancellation
+            await stream.connect((host, port))
     except (
         asyncio.CancelledError
     ):  # the loop would keep the socket for as long as the other side does not answer
--- a/cartweir/wire/calls.py
+++ b/cartweir/wire/calls.py
@@ -206,7 +206,8 @@
             return Response(first, listener.headers, trailers)
 
         try:
-            return await asyncio.wait_for(run(), timeout / 1e6)
+            async with asyncio.timeout(timeout / 1e6):  # asyncio.wait_for may swallow a cancellation
+                return await run()
         except TimeoutError:
             raise CallError(Status.DEADLINE_EXCEEDED, f"no answer within {timeout / 1000:.0f} ms") from None
         finally:
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import os
+import random
 
 from peers import ISSUE, VIEW, Client, Log, answer, rig, settings
 from test_calls import ask, sockets
 from test_processes import Offering
 
-from cartweir.agent.control_plane import write_atomically
+from cartweir.agent.control_plane import ConveyorClient, write_atomically
 from cartweir.agent.daemon import Daemon
 from cartweir.agent.grpc_mapping import load_of
+from cartweir.hosting.backoff import Backoff
 from cartweir.proto import agent_pb2 as pb
 from cartweir.proto import orca_pb2
 from cartweir.settings.ini import read_agent
@@ -155,3 +157,46 @@
     (folder := tmp_path / "kept").mkdir()
     write_atomically(folder / "stage", "new")
     assert done == ["stage.part", "replaced", "kept"] and (folder / "stage").read_text() == "new"
+
+
+class WaitingChannel:
+    """Delivers one message once it is told to, and nothing after it."""
+
+    address = "127.0.0.1:1"
+
+    def __init__(self):
+        self.deliver = asyncio.get_running_loop().create_future()
+
+    async def stream(self, path, message, metadata=()):
+        yield await self.deliver
+        await asyncio.get_running_loop().create_future()
+
+    def close(self):
+        pass
+
+
+@sockets
+async def test_a_subscription_that_is_ended_as_its_first_message_comes_ends():
+    """asyncio.wait_for swallowed the cancellation, and the process did not end."""
+    channel = WaitingChannel()
+    client = ConveyorClient(
+        None,
+        [channel, WaitingChannel()],
+        pb.Hello(agent=1),
+        1_000_000,
+        60_000_000,
+        Backoff(1_000, 2_000, random.Random(1)),
+        Log(),
+        lambda: 0,
+        None,
+        random.Random(1),
+    )
+    client._current = 0
+    client.start()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    channel.deliver.set_result(pb.Word().SerializeToString())
+    await asyncio.sleep(0)
+    client.stop()
+    await asyncio.wait([client._listener], timeout=1)
+    assert client._listener.done()
