A log that cannot be written breaks nothing: lines are counted and told later

Cause: Daemon.log_event printed to standard error and let the OSError through, amid signal handlers and network events. The gRPC agent, its parts and the controllers wrote by the same stream (agent/daemon.make_logger).

Why this works: hosting/log_stream.py is the one way out for lines; it never raises, counts what is lost, and writes 'log_lost lines=N' before the next line that can be written.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -23,6 +23,7 @@
 from ..hosting.engine_host import EngineHost
 from ..hosting.event_log import EventLogger
 from ..hosting.graceful_shutdown import GracefulShutdown
+from ..hosting.log_stream import LogStream
 from ..interface import Appliance, Dispatch, Operation
 from ..proto import agent_pb2 as pb
 from ..settings.schema import AgentDocument
@@ -407,7 +408,7 @@
         else structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty(), pad_event_to=EVENT_COLUMN_WIDTH)
     )
     return structlog.wrap_logger(
-        structlog.WriteLogger(sys.stderr),
+        structlog.WriteLogger(LogStream()),
         wrapper_class=structlog.make_filtering_bound_logger(LOG_LEVELS[level]),
         processors=[
             structlog.processors.add_log_level,
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -6,7 +6,6 @@
 import gc
 import random
 import signal
-import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +16,7 @@
 from ..hosting.backoff import Backoff
 from ..hosting.clock import Clock, arrival_selector
 from ..hosting.engine_host import EngineHost
+from ..hosting.log_stream import LogStream
 from ..interface import Appliance, Dispatch
 from .appliance_pools import ApplianceOptions, AppliancePools, Attempt
 from .config import Config, ConfigError, read
@@ -50,6 +50,7 @@
     def __init__(self, config: Config, reread: Callable[[], Config] = read) -> None:
         self.config, self.reread = config, reread
         self.loop = asyncio.get_running_loop()
+        self._log_stream = LogStream()
         self.clock = Clock(HEARTBEAT, arrival_selector(self.loop))
         settings = config.decision_settings
         sockets = max(MIN_SOCKETS, config.sockets - RESERVED_SOCKETS)
@@ -138,12 +139,8 @@
     def log_event(self, event: str, level: str = "info", **facts: Any) -> None:
         """Writes an event to standard error, unless it is one of each request or of level debug."""
         if level != "debug" and event not in UNLOGGED_EVENTS:
-            print(
-                f"{self.clock.now() / 1e6:.3f} {event}",
-                *(f"{name}={value}" for name, value in facts.items()),
-                file=sys.stderr,
-                flush=True,
-            )
+            fields = "".join(f" {name}={value}" for name, value in facts.items())
+            self._log_stream.write(f"{self.clock.now() / 1e6:.3f} {event}{fields}\n")
 
     # ---- from start to end ----
     def start_up(self) -> str:
--- a/cartweir/soak/schedule.py
+++ b/cartweir/soak/schedule.py
@@ -57,6 +57,10 @@
 STEPS = (2.0, -2.0, 6.0, -6.0, 3600.0, -3600.0)  # seconds
 QUIET_START, QUIET_END = 2.0, 3.0  # seconds of a run without a new fault
 
+FAILING_SHARES = (0.05, 0.3, 1.0)  # of the calls
+BROKEN_SHARE = 0.03  # of the calls on connections
+MOMENT = 0.15  # part of the time of other faults for which all calls may fail
+
 # chances
 PUSHED_LISTS = 0.3
 ONE_WAY_KEYS = 0.5
@@ -213,8 +217,9 @@
     for _ in range(chance.randint(0, 5)):
         call, error = chance.choice(CALL_ERRORS)
         begin = chance.uniform(0, seconds)
-        share = chance.choice((0.05, 0.3, 1.0)) if error not in BROKEN else 0.03
-        end = begin + chance.uniform(0.1, 2.0)
+        share = BROKEN_SHARE if error in BROKEN else chance.choice(FAILING_SHARES)
+        length = chance.uniform(0.1, 2.0) * (MOMENT if share == 1 and call != "log" else 1)
+        end = begin + length
         calls.append(CallFault(call, error, int(begin * SECOND), int(end * SECOND), share))
     own = steps if chance.random() < SAME_MACHINE else _draw_steps(chance, seconds)
     return ProcessPlan(chance.getrandbits(32), tuple(own), tuple(calls))
--- a/cartweir/soak/shim.py
+++ b/cartweir/soak/shim.py
@@ -25,6 +25,7 @@
 from .plan import BROKEN, SHORT, CallFault, ProcessPlan
 
 MAX_SHORT_READ = 7  # bytes
+STANDARD_ERROR = 2  # descriptor
 _REQUEST_ID = re.compile(rb"X-Request-ID: ([!-~]+)\r\n")
 
 
@@ -168,12 +169,17 @@
                 self.fail("open")
             return open_file(file, *arguments, **more)
 
-        builtins.open = failing_open
+        def failing_write(descriptor: int, data: Any) -> int:
+            if descriptor == STANDARD_ERROR:
+                self.fail("log")
+            return self._write(descriptor, data)
+
+        builtins.open, os.write = failing_open, failing_write
         sys.stderr = _FailingStream(sys.stderr, self)
 
 
 class _FailingStream:
-    """Standard error on a disk that may be full."""
+    """Standard error as Python's own stream, which does not write by `os.write`."""
 
     def __init__(self, stream: Any, shim: Shim) -> None:
         self._stream, self._shim = stream, shim
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,37 @@
+"""System calls of real agents that fail: each failure that the soak found has its test, named after it."""
+
+from __future__ import annotations
+
+import pytest
+
+from cartweir.soak.plan import CallFault, ProcessPlan
+from cartweir.soak.run import Result, play
+from cartweir.soak.schedule import SECOND, STOP_AGENTS, Action, Deployment, Schedule
+
+AGENTS = 2
+SMALL = Deployment(agents=AGENTS, servers=3, load=0.5, mean_work=20_000)
+RESTART = Action(2.0, STOP_AGENTS, (0, 1))
+
+
+def play_failing(folder, *faults: tuple[str, str, float, float], actions=()) -> Result:
+    """Plays a short run in which calls of all agents fail: call, error, share, seconds from the start."""
+    calls = [
+        CallFault(call, error, 0, int(seconds * SECOND), share) for call, error, share, seconds in faults
+    ]
+    plans = [ProcessPlan(number, (), calls) for number in range(AGENTS)]
+    result = play(Schedule(1, 4.0, SMALL, actions, plans), folder)
+    assert result.faults and result.endings["answered 200"] > 100, result.text()
+    return result
+
+
+@pytest.mark.parametrize("error", ["ENOSPC", "EIO"])
+def test_a_log_on_a_full_disk_keeps_no_agent_from_its_work_or_its_end(tmp_path, error):
+    """The first line of the log that failed raised in the middle of SIGTERM's handler."""
+    result = play_failing(tmp_path, ("log", error, 1.0, 60.0), actions=[RESTART])
+    assert result.breaches == [], result.text()
+
+
+def test_a_log_tells_how_many_lines_it_lost(tmp_path):
+    play_failing(tmp_path, ("log", "ENOSPC", 1.0, 3.0), actions=[RESTART])
+    logs = [path.read_text() for path in tmp_path.glob("agent*/log-*.txt")]
+    assert any("log_lost lines=" in log for log in logs), logs
