A send that fails for want of buffers is tried again, and the connection stays

Cause: NonBlockingSocket.write and _writable took every OSError but EAGAIN and EINTR for the end of the connection, and ClientConnection.respond closed it. ENOBUFS and ENOMEM of send leave a connection as it is.

Why this works: hosting/tcp.py has one set of errors that pass (MOMENTARY_ERRORS) for reading, peeking and writing; what was not sent waits until the socket is writable.

--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -17,6 +17,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 READ_SIZE = 64 * 1024  # bytes read at a time
+# errors of a call that may succeed later: the connection is as good as before
+MOMENTARY_ERRORS = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
 MAX_PORT = 65_535
 
 
@@ -124,10 +126,9 @@
     def _readable(self) -> None:
         try:
             data = self.socket.recv(READ_SIZE)
-        except (BlockingIOError, InterruptedError):
-            return
         except OSError as error:
-            self.owner.on_lost(error.strerror or str(error))
+            if error.errno not in MOMENTARY_ERRORS:
+                self.owner.on_lost(error.strerror or str(error))
             return
         if data:
             self.owner.on_data(data)
@@ -138,20 +139,16 @@
         """Whether neither data nor the end of the connection waits for the loop to report it."""
         try:
             self.socket.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            pass
+        except OSError as error:
+            return error.errno in MOMENTARY_ERRORS
         return False
 
     def at_end(self) -> bool:
         """Whether the other side has closed the connection, and all its data has been handled."""
         try:
             return not self.socket.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            return True
+        except OSError as error:
+            return error.errno not in MOMENTARY_ERRORS
 
     def write(self, data: bytes) -> None:
         """Sends data; what the kernel does not take at once is sent later.
@@ -162,19 +159,23 @@
         if self._unsent:
             self._unsent += data
             return
-        try:
-            taken = self.socket.send(data)
-        except (BlockingIOError, InterruptedError):
-            taken = 0
+        taken = self._send(data)
         if taken < len(data):
             self._unsent = data[taken:]
             self.loop.add_writer(self._fd, self._writable)
 
+    def _send(self, data: bytes) -> int:
+        """Returns how many bytes the kernel has taken; raises OSError if the connection has ended."""
+        try:
+            return self.socket.send(data)
+        except OSError as error:
+            if error.errno not in MOMENTARY_ERRORS:
+                raise
+            return 0
+
     def _writable(self) -> None:
         try:
-            self._unsent = self._unsent[self.socket.send(self._unsent) :]
-        except (BlockingIOError, InterruptedError):
-            return
+            self._unsent = self._unsent[self._send(self._unsent) :]
         except OSError as error:
             self.owner.on_lost(error.strerror or str(error))
             return
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -35,3 +35,10 @@
     play_failing(tmp_path, ("log", "ENOSPC", 1.0, 3.0), actions=[RESTART])
     logs = [path.read_text() for path in tmp_path.glob("agent*/log-*.txt")]
     assert any("log_lost lines=" in log for log in logs), logs
+
+
+@pytest.mark.parametrize("error", ["ENOBUFS", "ENOMEM", "EINTR", "SHORT"])
+def test_a_send_that_fails_for_a_moment_loses_no_answer(tmp_path, error):
+    """ENOBUFS closed the client's connection in place of its answer."""
+    result = play_failing(tmp_path, ("send", error, 0.2, 60.0))
+    assert result.breaches == [], result.text()
