Accept that fails for want of resources pauses in place of a busy loop

Cause: Front._accept went on for any error but EMFILE and ENFILE.

Why this works: EMFILE, ENFILE, ENOBUFS and ENOMEM all stop the watch of the listener for 10 ms, which nothing ends sooner; 'accept_paused' tells why. EINTR no longer counts as 'nobody waits': with it the listener could be closed on clients that wait, at the end of a drain.

--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -25,6 +25,7 @@
 MS = 1000
 REQUEST_TIMEOUT = 2_000 * MS  # for a complete request on a new connection: a usual client asks at once
 SWEEP_INTERVAL = 100 * MS
+ACCEPT_PAUSE = 10 * MS  # after a connection could not be accepted for want of resources
 LINGER_TIME = 500 * MS  # for a client that is still sending to read why its connection ends
 STALE_INPUT_AGE = 20 * MS  # input read so long after it arrived may be of a client that has left meanwhile
 
@@ -41,6 +42,9 @@
 MAX_LINGER_BYTES = 256 * 1024  # read and discarded from a client whose connection ends
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted
 ACCEPTS_PER_TURN = 32
+# errors of accept
+NO_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE))
+NO_RESOURCES = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
 MAX_WORK_DIGITS = 11  # of the header that hints at the work of a request
 
 _TOKEN = re.compile(rb"[!-~]{1,128}")
@@ -270,6 +274,7 @@
         self.drain_deadline = 0
         self._listener: socket.socket | None = None
         self._accepting = True  # whether the loop watches the listener
+        self._pause: asyncio.TimerHandle | None = None  # after a connection could not be accepted
 
     def listen(self, address: str) -> str:
         """Returns the address with the port that was bound.
@@ -305,22 +310,35 @@
                 return False
             try:
                 sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 return True
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE) and not self._evict():
-                    self.set_accepting(False)
-                    return False
-                continue  # that connection has broken already
+                if error.errno not in NO_RESOURCES or (error.errno in NO_DESCRIPTORS and self._evict()):
+                    continue  # that connection has broken already, or there is room now
+                self._pause_accepting(error)
+                return False
             sock.setblocking(False)
             client = ClientConnection(self, sock)
             self.clients.add(client)
             self.idle[client] = None
         return False
 
+    def _pause_accepting(self, error: OSError) -> None:
+        """Stops watching the listener for a moment: it would be reported again at once, in a busy loop."""
+        self.set_accepting(False)
+        if self._pause is None:
+            self.log_event("accept_paused", level="warning", why=error.strerror)
+            self._pause = self.loop.call_later(ACCEPT_PAUSE / 1e6, self._end_pause)
+
+    def _end_pause(self) -> None:
+        self._pause = None
+        self.set_accepting(True)
+
     def set_accepting(self, accepting: bool) -> None:
         """Watches the listener for new connections, or stops watching it."""
-        if self._listener is not None and accepting != self._accepting:
+        if self._listener is None or (accepting and self._pause is not None):
+            return
+        if accepting != self._accepting:
             self._accepting = accepting
             if accepting:
                 self.loop.add_reader(self._listener.fileno(), self._accept)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -9,6 +9,7 @@
 from cartweir.soak.schedule import SECOND, STOP_AGENTS, Action, Deployment, Schedule
 
 AGENTS = 2
+ACCEPT_PAUSE_SECONDS = 0.01
 SMALL = Deployment(agents=AGENTS, servers=3, load=0.5, mean_work=20_000)
 RESTART = Action(2.0, STOP_AGENTS, (0, 1))
 
@@ -42,3 +43,18 @@
     """ENOBUFS closed the client's connection in place of its answer."""
     result = play_failing(tmp_path, ("send", error, 0.2, 60.0))
     assert result.breaches == [], result.text()
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS", "EMFILE", "ENFILE"])
+def test_accept_that_fails_for_want_of_resources_is_not_called_in_a_busy_loop(tmp_path, error):
+    """It was called 80,000 times a second, and requests of other clients were answered late."""
+    seconds = 1.0
+    result = play_failing(tmp_path, ("accept", error, 1.0, seconds))
+    calls = result.faults[f"accept {error}"]
+    assert calls <= 2 * AGENTS * seconds / ACCEPT_PAUSE_SECONDS, result.text()
+
+
+@pytest.mark.parametrize("error", ["ECONNABORTED", "EINTR", "ENOMEM"])
+def test_connections_that_wait_as_accept_fails_are_served(tmp_path, error):
+    result = play_failing(tmp_path, ("accept", error, 0.5, 60.0), actions=[RESTART])
+    assert result.breaches == [], result.text()
