Connections to a server that are made together are told apart

Cause: AppliancePool.open_more bound the name of the last connection in every callback of its loop. Where it made several at once (descriptors had run short), the earlier ones stayed in 'opening' for ever, and as many later requests waited with no connection being made for them.

Evidence: test_connections_that_are_made_together_are_told_apart: two of three stay in 'opening' before, none now.

Why this works: each connection is begun in a function of its own.

--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -178,18 +178,22 @@
             if not self.pools.make_room():
                 self.pools.starved[self] = None
                 break
-            self.pools.connection_count += 1
-            pending = PendingConnection(
-                self.pools.loop,
-                self.address,
-                self.pools.options.connect_timeout,
-                lambda sock, why: self._connected(pending, sock, why),
-            )
-            self.opening.add(pending)
+            self._open()
         if self.waiting and self.idle and self._rest_timer is None:
             left = REST_TIME - (self.pools.now() - self.idle[0].last_used)
             self._rest_timer = self.pools.loop.call_later(max(0, left) / 1e6, self._rest_over)
 
+    def _open(self) -> None:
+        """Begins to make a connection."""
+        self.pools.connection_count += 1
+        pending = PendingConnection(
+            self.pools.loop,
+            self.address,
+            self.pools.options.connect_timeout,
+            lambda sock, why: self._connected(pending, sock, why),
+        )
+        self.opening.add(pending)
+
     def _rest_over(self) -> None:
         self._rest_timer = None
         while self.waiting and (connection := self.take_idle()) is not None:
