A request that waited to be accepted is not promised the time that it waited

Cause: the node counted a request's time from when its connection was accepted and read; while accept fails, or all places are taken, connections wait in the kernel's queue. The gRPC agent asks TCP_INFO for that time, the node did not.

Why this works: hosting/receive_queue.py (was agent/receive_queue.py) is used by both. The node asks it only for connections that are accepted after it had stopped watching the listener, until the queue is empty, so that the ordinary path costs nothing more.

--- a/cartweir/agent/__init__.py
+++ b/cartweir/agent/__init__.py
@@ -5,7 +5,6 @@
 - `appliance_pools`: connections to appliances, and the attempts on them.
 - `control_plane`: the registry, the conveyor and the other agents.
 - `key_journal_file`: bound keys on disk.
-- `receive_queue`: how long data has been waiting on a new connection.
 - `daemon`: connects them on one event loop, with signals and logs.
 
 The host of the decisions and the clock are in `hosting`.
--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -14,6 +14,7 @@
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
 from ..hosting.event_log import EventLogger
+from ..hosting.receive_queue import QueuedData, queued_data
 from ..hosting.tcp import ReadOnReadyStream, split_address
 from ..interface import Invocation, Operation
 from ..wire import grpc
@@ -21,7 +22,6 @@
 from ..wire.grpc import Headers, MalformedError, MessageScanner, Status
 from ..wire.session import SessionLimits, Stream
 from . import grpc_mapping
-from .receive_queue import QueuedData, queued_data
 
 LISTEN_BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPTS_PER_TURN = 64  # so that established connections get their share of each turn of the event loop
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -16,6 +16,7 @@
 
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
+from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import NonBlockingSocket, split_address
 from ..interface import FINGERPRINTED, IDEMPOTENT, Invocation, Operation
 from . import http1, protocol
@@ -39,6 +40,8 @@
 MAX_DRAIN_TIME = 3_000 * MS  # draining takes the longest time limit, at most this long, ...
 DRAIN_MARGIN = 600 * MS  # ... and so much more
 
+NOT_YET = 1 << 62  # later than any time
+
 MAX_LINGER_BYTES = 256 * 1024  # read and discarded from a client whose connection ends
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted
 ACCEPTS_PER_TURN = 32
@@ -99,6 +102,7 @@
 
     Attributes:
         call: The request that waits for its response.
+        arrived_at: When its first request may have arrived, if it waited to be accepted; else `NOT_YET`.
         last_active: When it connected, began a request, was answered, or last took a part of its response.
         served: Whether it has had a response.
         unanswered: A complete request has arrived, and no response was written yet.
@@ -109,6 +113,7 @@
     """
 
     __slots__ = (
+        "arrived_at",
         "call",
         "closing",
         "discarded",
@@ -126,6 +131,7 @@
         self.front, self.parser = front, RequestParser()
         self.call: ClientCall | None = None
         self.last_active = front.clock.now()
+        self.arrived_at = NOT_YET
         self.served = self.unanswered = False
         self.closing = False
         self.keep_alive, self.discarded, self.unsent_before = True, 0, 0
@@ -274,6 +280,7 @@
         self.drain_deadline = 0
         self._listener: socket.socket | None = None
         self._accepting = True  # whether the loop watches the listener
+        self._accepted_late = False  # connections may have waited since the loop did not watch it
         self._pause: asyncio.TimerHandle | None = None  # after a connection could not be accepted
 
     def listen(self, address: str) -> str:
@@ -311,6 +318,7 @@
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
+                self._accepted_late = False
                 return True
             except OSError as error:
                 if error.errno not in NO_RESOURCES or (error.errno in NO_DESCRIPTORS and self._evict()):
@@ -319,6 +327,8 @@
                 return False
             sock.setblocking(False)
             client = ClientConnection(self, sock)
+            if self._accepted_late:
+                client.arrived_at = client.last_active - queued_data(sock).age
             self.clients.add(client)
             self.idle[client] = None
         return False
@@ -340,6 +350,7 @@
             return
         if accepting != self._accepting:
             self._accepting = accepting
+            self._accepted_late = True
             if accepting:
                 self.loop.add_reader(self._listener.fileno(), self._accept)
             else:
@@ -411,7 +422,8 @@
         Raises:
             HttpError: The request is refused.
         """
-        arrived = self.clock.arrival_time()
+        arrived = min(self.clock.arrival_time(), client.arrived_at)
+        client.arrived_at = NOT_YET
         if (not client.served or self.clock.now() - arrived > STALE_INPUT_AGE) and client.socket.at_end():
             client.close()  # the client left while it waited or the process stalled
             return
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -58,3 +58,9 @@
 def test_connections_that_wait_as_accept_fails_are_served(tmp_path, error):
     result = play_failing(tmp_path, ("accept", error, 0.5, 60.0), actions=[RESTART])
     assert result.breaches == [], result.text()
+
+
+def test_time_for_which_a_connection_could_not_be_accepted_counts_against_its_deadline(tmp_path):
+    """A server was told 260 ms where the client had 91 ms left."""
+    result = play_failing(tmp_path, ("accept", "ENOBUFS", 1.0, 0.6))
+    assert result.breaches == [], result.text()
