One guard for sending, repeating, closing and starting, with violations counted

Nothing in an agent counted what one cold server got, or said why a connection was closed, a request refused or sent again.

hosting/dispatch_guard.py stands between decisions and sockets of all hosts (EngineHost.dispatch and may_send). It goes by what was sent and answered alone: unsafe repeats, second copies, sends to a server that leaves, sends to a cold server past this agent's part (own window, own count), closing on a request that was read, starts in the future. What would violate an invariant is not sent, is counted by name and logged with its ids (invariant_violated); the 'stopped' line has the sum. The soak takes a violation for a breach.

New in the log: slow_start (which servers begin as cold, their age), counts (answers and repeats by the result before, closed connections by reason; each 30 s and at the end). Node: each close has a reason (CloseReason).

Checked: the agents of tests/test_audit.py whose decisions are broken on purpose are held and counted by the guard (repeats_anything: rule 2 kept; loves_the_cold: counted); the audit is asked with the guard off, as strictly as before.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -367,7 +367,7 @@
     def _end(self) -> None:
         self.front.close()
         self.appliance_pools.close()
-        self.log_event("stopped")
+        self.log_event("stopped", violations=self.engine_host.guard.violations.total())
         self.ended.set()
 
 
--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import wraps
 from typing import TYPE_CHECKING, Any, Protocol
@@ -18,6 +19,7 @@
 from ..engine import Engine
 from ..interface import Appliance, Dispatch, Invocation, Operation, Outcome, Stage, Tally, Throttle
 from .appliance_list import ApplianceList, ListEntry
+from .dispatch_guard import DispatchGuard
 
 if TYPE_CHECKING:
     from ..fleet.key_journal import RecoveredKeys
@@ -115,6 +117,8 @@
         attempts: The dispatches that are out.
         lag: For how many microseconds the event in hand was held up on its way here.
         engine: The engine that runs the decisions.
+        guard: Checks what is sent.
+        counts: Answers and further dispatches so far, with the reason for each.
     """
 
     def __init__(self, environment: Environment, settings: Mapping[str, Any], seed: int) -> None:
@@ -130,6 +134,9 @@
         self._count = 0
         self._logged_stage: tuple | None = None  # identity and cap of the stage that was logged last
         self.engine = Engine(environment.now(), seed, settings, self)
+        self.guard = DispatchGuard(self.engine.agent, settings, self._log_event)
+        self.counts: Counter[str] = Counter()
+        self._slow_started: set[Appliance] = set()  # cold appliances that have been logged
 
     # ---- actions of the engine ----
     def dispatch(self, dispatch: Dispatch) -> None:
@@ -142,9 +149,12 @@
             or self.engine.now >= invocation.deadline
             or (dispatch.number >= self.settings["dispatch_limit"])
             or dispatch.appliance.state == ours.GONE
+            or not self.guard.allows(dispatch, self.engine.now)
         ):
             self.environment.run_soon(lambda: self.dispatch_ended(dispatch, ours.OBSOLETE))
             return
+        if dispatch.number:
+            self.counts[f"retry_after_{invocation.dispatches[dispatch.number - 1].result or 'none'}"] += 1
         self.attempts[dispatch] = self.environment.start(dispatch, call)
         self.environment.log_event(
             "dispatch",
@@ -177,6 +187,8 @@
         call = self.calls.pop(invocation, None)
         if call is not None:
             give(call)
+            last = invocation.dispatches[-1].result if invocation.dispatches else "unsent"
+            self.counts[f"{answer}_after_{last or 'waiting'}" if answer != "succeeded" else answer] += 1
             self.environment.log_event(
                 "answer",
                 invocation=invocation.id,
@@ -190,6 +202,9 @@
         """Has `run_timers` called at this time."""
         self.environment.schedule_alarm(due)
 
+    def _log_event(self, event: str, **fields: Any) -> None:
+        self.environment.log_event(event, **fields)
+
     def log(self, text: str) -> None:
         """Logs a line of the decisions."""
         self.environment.log_event("decision", text=text)
@@ -268,6 +283,7 @@
             **fields,
         )
         self.calls[invocation] = call
+        self.guard.record_taken(self.engine.now)
         self.engine.accept(invocation)
         self.engine.resume_woken()
         return invocation
@@ -286,7 +302,7 @@
         if dispatch.result is not None or dispatch.invocation not in self.calls:
             return False
         self.catch_up()
-        return self.engine.may_send(dispatch)
+        return self.engine.may_send(dispatch) and self.guard.allows(dispatch, self.engine.now)
 
     def claim_answer(self, dispatch: Dispatch) -> bool:
         """Marks the answer of this dispatch as the one that is passed on, from its first bytes.
@@ -368,9 +384,27 @@
         has_entries = kind in (ours.DELTA, ours.SNAPSHOT, ours.CACHED)
         changed = self.appliance_list.apply(kind != ours.DELTA, entries) if has_entries else []
         self.engine.agent.on_list(kind, changed, waited)
+        self.guard.record_list(changed, self.engine.now)
+        self._log_slow_start(changed)
         self.engine.resume_woken()
         return changed
 
+    def _log_slow_start(self, changed: list[Appliance]) -> None:
+        """Logs the appliances among these that begin as cold."""
+        cold = self.engine.agent.slow_start.appliances
+        told = set(changed)
+        begun = [each for each in cold if each in told and each not in self._slow_started]
+        self._slow_started = set(cold)
+        if begun:
+            self.environment.log_event(
+                "slow_start",
+                appliances=len(begun),
+                cold=len(cold),
+                first=begun[0].id,
+                build=begun[0].build,
+                age_ms=(self.engine.now - begun[0].started) // 1000,
+            )
+
     @answers_broken_invocations
     def apply_stage(self, stage: Stage) -> None:
         """Applies a stage of the newest build or the answer to a vote; logs the stage if it is new."""
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -32,6 +32,7 @@
 PROBE_TIMEOUT = 250 * MS
 RECONNECT_DELAYS = 50 * MS, S  # shortest and longest
 DRAIN_CHECK_INTERVAL = 20 * MS
+COUNTS_INTERVAL = 30 * S
 READY_WITHIN = 5 * S  # of the start: a new process waits this long for discovery before it invites clients
 
 RESERVED_SOCKETS = 24  # descriptors for what is neither a client nor an appliance
@@ -51,6 +52,7 @@
         self.config, self.reread = config, reread
         self.loop = asyncio.get_running_loop()
         self._log_stream = LogStream()
+        self._logged_counts: dict[str, int] = {}
         self.clock = Clock(HEARTBEAT, arrival_selector(self.loop))
         settings = config.decision_settings
         sockets = max(MIN_SOCKETS, config.sockets - RESERVED_SOCKETS)
@@ -157,6 +159,7 @@
         self.release_service.start(self.config.stage)
         address = self.front.listen(self.config.listen)
         self._beat()
+        self.loop.call_later(COUNTS_INTERVAL / 1e6, self._log_counts_again)
         self.log_event(
             "started",
             listen=address,
@@ -166,6 +169,21 @@
         )
         return address
 
+    def _log_counts(self) -> None:
+        """Logs what became of requests and connections since the start, if anything has."""
+        counts = {
+            **self.engine_host.counts,
+            **{f"closed_{reason}": count for reason, count in self.front.closed.items()},
+            **{f"violated_{name}": count for name, count in self.engine_host.guard.violations.items()},
+        }
+        if counts != self._logged_counts:
+            self._logged_counts = counts
+            self.log_event("counts", **dict(sorted(counts.items())))
+
+    def _log_counts_again(self) -> None:
+        self._log_counts()
+        self.loop.call_later(COUNTS_INTERVAL / 1e6, self._log_counts_again)
+
     def _ready(self) -> bool:
         """Whether to invite clients: once discovery has confirmed the kept list, or READY_WITHIN is over."""
         return self.discovery.synchronized or self.clock.now() >= self.started_at + READY_WITHIN
@@ -205,7 +223,13 @@
                 self.log_event("giving_up", level="warning", held=len(self.engine_host.calls))
                 self.engine_host.give_up_all()
         else:
-            self.log_event("stopped", refused=self.front.refused, evicted=self.front.evicted)
+            self._log_counts()
+            self.log_event(
+                "stopped",
+                refused=self.front.refused,
+                evicted=self.front.evicted,
+                violations=self.engine_host.guard.violations.total(),
+            )
             self.ended.set()
 
 
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -10,11 +10,13 @@
 import errno
 import re
 import socket
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
+from enum import StrEnum
 from typing import Any
 
 from ..hosting.clock import Clock
+from ..hosting.dispatch_guard import Invariant
 from ..hosting.engine_host import EngineHost
 from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import NonBlockingSocket, split_address
@@ -54,6 +56,24 @@
 EventLogger = Callable[..., None]
 
 
+class CloseReason(StrEnum):
+    """Why a client's connection was closed; the names that the log counts them by."""
+
+    CLIENT_GONE = "client_gone"  # the client has closed it, or it broke
+    UNWRITABLE = "unwritable"  # its response could not be written, because it has ended
+    EVICTED = "evicted"  # to make room
+    NO_REQUEST = "no_request"  # the client sent nothing for too long
+    NOT_READ = "not_read"  # the client took nothing of its response for too long
+    TOO_MUCH_SENT = "too_much_sent"  # the client went on sending after its last response
+    RESPONDED = "responded"  # its last response was written, and the client had the time to read it
+    DRAINING = "draining"  # this process ends, and the connection carried nothing
+    STOPPED = "stopped"  # this process has ended
+
+
+# reasons for which a request that was read may stay without a response
+_NOBODY_TO_ANSWER = frozenset((CloseReason.CLIENT_GONE, CloseReason.UNWRITABLE))
+
+
 class ClientCall:
     """One request until its response: the client's side of an invocation."""
 
@@ -85,9 +105,9 @@
         return self.client is None or self.client.socket.at_end()
 
     def close_client(self) -> None:
-        """Closes the client's connection."""
+        """Closes the connection of a client that has left."""
         if self.client is not None:
-            self.client.close()
+            self.client.close(CloseReason.CLIENT_GONE)
 
     def _respond(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
         client, self.client = self.client, None
@@ -143,7 +163,7 @@
         if self.closing:
             self.discarded += len(data)
             if self.discarded > MAX_LINGER_BYTES:
-                self.close()
+                self.close(CloseReason.TOO_MUCH_SENT)
             return
         in_message_before = self.parser.in_message
         try:
@@ -185,7 +205,7 @@
 
     def on_lost(self, why: str) -> None:
         """The client's end of the connection is closed, or it broke."""
-        self.close()
+        self.close(CloseReason.CLIENT_GONE)
 
     def on_sent(self) -> None:
         """The kernel has taken the whole response; idle and linger times begin only now, for slow readers."""
@@ -211,7 +231,7 @@
         try:
             self.socket.write(http1.encode_response(status, body, headers, keep_alive))
         except OSError:
-            self.close()
+            self.close(CloseReason.UNWRITABLE)
             return
         if not keep_alive:
             self.closing = True
@@ -228,9 +248,16 @@
             if call.invocation is not None:
                 self.front.engine_host.client_left(call.invocation)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Closes the connection at once."""
         if not self.socket.closed:
+            self.front.closed[reason] += 1
+            if self.unanswered and reason not in _NOBODY_TO_ANSWER:
+                self.front.engine_host.guard.report(
+                    Invariant.CLOSED_UNANSWERED,
+                    request=self.call.id.decode("latin-1") if self.call else "",
+                    reason=str(reason),
+                )
             self.socket.close()
             self.parser.close()
             self.front.idle.pop(self, None)
@@ -251,6 +278,7 @@
         draining: The order to end has come.
         refused: Requests refused so far.
         evicted: Connections closed so far to make room.
+        closed: Connections closed so far, by reason.
         max_time_limit: The longest time limit of any operation.
         drain_deadline: While draining: when every open request has been answered.
     """
@@ -274,6 +302,7 @@
         self.calls: dict[bytes, ClientCall] = {}
         self.draining = False
         self.refused = self.evicted = 0
+        self.closed: Counter[CloseReason] = Counter()
         self.max_time_limit = max(
             (operation.time_limit for operation in engine_host.operations.values()), default=0
         )
@@ -385,7 +414,7 @@
         if not candidates:
             return False
         self.evicted += 1
-        candidates[min(candidates)].close()
+        candidates[min(candidates)].close(CloseReason.EVICTED)
         return True
 
     def _sweep(self) -> None:
@@ -402,10 +431,10 @@
             if unsent != client.unsent_before:
                 client.last_active, client.unsent_before = now, unsent
             elif age > self.max_time_limit + LINGER_TIME:
-                client.close()
+                client.close(CloseReason.NOT_READ)
         elif client.closing:  # closing with unread input would reset what the client has not read yet
             if age > REQUEST_TIMEOUT or (age > LINGER_TIME and client.socket.nothing_to_read()):
-                client.close()
+                client.close(CloseReason.RESPONDED)
         elif client.parser.in_message:
             if age > REQUEST_TIMEOUT:
                 client.refuse(408, "no whole request in time")
@@ -413,7 +442,7 @@
             (not client.served and age > REQUEST_TIMEOUT)
             or (client.served and self.draining and self._listener is None)
         ) and client.socket.nothing_to_read():
-            client.close()
+            client.close(CloseReason.DRAINING if client.served else CloseReason.NO_REQUEST)
 
     # ---- requests ----
     def handle_request(self, client: ClientConnection, request: Request) -> None:
@@ -425,7 +454,7 @@
         arrived = min(self.clock.arrival_time(), client.arrived_at)
         client.arrived_at = NOT_YET
         if (not client.served or self.clock.now() - arrived > STALE_INPUT_AGE) and client.socket.at_end():
-            client.close()  # the client left while it waited or the process stalled
+            client.close(CloseReason.CLIENT_GONE)  # the client left while it waited or the process stalled
             return
         path = request.target.partition(b"?")[0]
         if path == protocol.READY_PATH:
@@ -507,7 +536,8 @@
                 and not (client.closing or client.parser.in_message or client.socket.unsent)
                 and client.socket.nothing_to_read()
             ):
-                client.close()  # a request that crosses this end stays unread and is retried elsewhere
+                # a request that crosses this end stays unread and is retried elsewhere
+                client.close(CloseReason.DRAINING)
 
     def _close_listener(self) -> None:
         if self._listener is not None:
@@ -524,4 +554,4 @@
         """Closes the listener and all connections at once."""
         self._close_listener()
         for client in list(self.clients):
-            client.close()
+            client.close(CloseReason.STOPPED)
--- a/cartweir/soak/processes.py
+++ b/cartweir/soak/processes.py
@@ -19,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 START_TIMEOUT = 20.0  # seconds
-ERROR_SIGNS = ("internal_error", "Traceback", "Error:")
+ERROR_SIGNS = ("internal_error", "invariant_violated", "Traceback", "Error:")
 
 
 async def _spawn(*command: str, **options: Any) -> asyncio.subprocess.Process:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -20,6 +20,7 @@
 from cartweir.audit.rules import Excuse, check_drains, check_one_answer
 from cartweir.audit.run import audit, numeric_order
 from cartweir.hosting.clock import monotonic
+from cartweir.hosting.dispatch_guard import Invariant
 from cartweir.proto import agent_pb2 as pb
 from cartweir.settings.ini import read_agent
 from cartweir.standin.appliance import Fleet, Make, Quality
@@ -31,8 +32,12 @@
 from cartweir.wire.tap import FileTap
 
 
-async def scene(folder, what, breaking, seconds=2.5):
-    """Plays 4 servers, one agent and clients; `what` happens after 0.8 s. Returns the broken rules."""
+async def scene(folder, what, breaking, seconds=2.5, guarded=True):
+    """Plays 4 servers, one agent and clients; `what` happens after 0.8 s.
+
+    Returns:
+        The broken rules, and the violations that the agent's own guard has counted.
+    """
     multiple = 1.0 if what is cold else 4.0  # overload alone must not hide the one that loves the cold
     facts = []
 
@@ -76,6 +81,8 @@
     address = daemon.start_up()
     await listed
     breaking(daemon)
+    if not guarded:
+        daemon.engine_host.guard.allows = lambda dispatch, now: True
     load = Load(KINDS, [address], 110.0, 4, keys=60, tap=FileTap(folder / "clients.tap"))
     asyncio.get_running_loop().call_later(0.8, what, fleet, conveyor, machines)
     await load.run(seconds)
@@ -85,7 +92,8 @@
     registry.shutdown()
     conveyor.shutdown()
     (folder / "facts.jsonl").write_text("".join(facts))
-    return sorted({breach.rule for breach in audit(folder).breaches})
+    broken = sorted({breach.rule for breach in audit(folder).breaches})
+    return broken, daemon.engine_host.guard.violations
 
 
 def calm(fleet, conveyor, machines):
@@ -169,7 +177,24 @@
 def test_broken_agent_is_caught(tmp_path, what, breaking, rule):
     @sockets
     async def play():
-        assert rule in await scene(tmp_path, what, breaking)
+        assert rule in (await scene(tmp_path, what, breaking, guarded=False))[0]
+
+    play()
+
+
+@pytest.mark.parametrize(
+    "what, breaking, rule, invariant",
+    [
+        (failing, repeats_anything, 2, Invariant.UNSAFE_REPEAT),
+        (cold, loves_the_cold, None, Invariant.COLD_OVERLOAD),
+    ],
+    ids=lambda value: getattr(value, "__name__", str(value)),
+)
+def test_the_guard_holds_and_counts_what_broken_decisions_send(tmp_path, what, breaking, rule, invariant):
+    @sockets
+    async def play():
+        broken, violations = await scene(tmp_path, what, breaking)
+        assert rule not in broken and violations[invariant] > 0, (broken, violations)
 
     play()
 
@@ -178,7 +203,7 @@
 def test_the_agent_as_it_is_keeps_all_rules(tmp_path, what):
     @sockets
     async def play():
-        assert await scene(tmp_path, what, lambda daemon: None) == []
+        assert await scene(tmp_path, what, lambda daemon: None) == ([], {})
 
     play()
 
