The usual weight is that of the larger side while a build is on trial

Cause: Agent._regroup measured a cold server's part against the earlier servers alone; where most of these are lost while a stage is in progress, the part grows without bound (slow start's rate, and the trial's part in pick).

Evidence: test_a_cold_appliance_gets_its_part_of_the_larger_side_of_a_trial, failed before, passes now.

Why this works: either side alone may come to bear the usual traffic; the larger one is the measure.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -165,7 +165,9 @@
         self.earlier_build_gone = self.stage is None or not any(
             a.build < self.stage.build for a in self.earlier_appliances
         )
-        self.usual_weight = sum(a.weight for a in (self.fleet if both else self.earlier_appliances)) or 1.0
+        # Beside each other, either side may come to bear all: what is left of the earlier one is no measure.
+        bearing = [self.fleet] if both else [self.earlier_appliances, self.trial_appliances]
+        self.usual_weight = max(sum(a.weight for a in side) for side in bearing) or 1.0
 
     # ---- the roll-out of the newest build ----
     def on_stage(self, stage: Stage) -> None:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -65,3 +65,17 @@
         scene.fleet[name].decision_state.ejected_until = scene.engine.now + S
     slow_start.earn()
     assert slow_start.rate == pytest.approx(rate / 4, rel=0.01)
+
+
+def test_a_cold_appliance_gets_its_part_of_the_larger_side_of_a_trial():
+    """With one earlier appliance left beside ten on trial, a cold one was due most of the traffic."""
+    scene = Scene(warm_time=60 * S, cold_share=0.3, fall_multiple=4.0)
+    scene.list("old")
+    scene.list(*(f"new{number}" for number in range(10)), build=2)
+    scene.list("cold", build=2, started=1)
+    scene.stage(2, 2, 1.0)
+    slow_start = scene.agent.slow_start
+    scene.agent.succeeded = 10  # all that has been taken
+    slow_start.earn()
+    even_part = 0.3 / 11
+    assert slow_start.rate == pytest.approx(2 * even_part, rel=0.05)
