What waited long for a connection to a cold server is not sent in one burst

Dispatches that wait for a connection leave together when the server begins to accept; the wait was bounded by the connect time-out alone (a setting), and slow start was not asked again.

Cause: Agent.may_send asked for drains, repeats and exposure, not for slow start.

Evidence: test_dispatches_that_waited_long_for_a_cold_appliance_do_not_leave_together, failed before for 260 ms, passes now.

Why this works: a dispatch earned for a cold server lapses once it has waited for a quarter of the time in which one falls.

--- a/cartweir/hosting/dispatch_guard.py
+++ b/cartweir/hosting/dispatch_guard.py
@@ -14,11 +14,10 @@
 
 from ..interface import FINGERPRINTED, IDEMPOTENT, NEVER_RAN, READY, Appliance, Dispatch
 from ..logic import Agent
-from ..logic.slow_start import COLD_MULTIPLE, warmth
+from ..logic.slow_start import COLD_MULTIPLE, DEFAULT_FALL_TIME, warmth
 from .event_log import EventLogger
 
 DEVIATIONS = 3  # standard deviations by which chance may exceed a cold appliance's mean, and dispatches
-DEFAULT_FALL_TIME = 1_000_000  # microseconds, where the settings have none
 
 
 class Invariant(StrEnum):
--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -466,6 +466,7 @@
             not invocation.concluded
             and not invocation.streaming
             and ready
+            and self.slow_start.still_allows(appliance, dispatch.sent)
             and (
                 self.may_repeat(invocation, appliance, dispatch)
                 and within_limits(self, invocation, appliance)
--- a/cartweir/logic/slow_start.py
+++ b/cartweir/logic/slow_start.py
@@ -4,10 +4,13 @@
 
 from ..interface import READY, Appliance
 from ..state import AgentState
+from .timing import SECOND
 
 MAX_TAKEN = 40  # invocations taken, at which the counts of them and of those that succeeded are halved
 COLD_FALL_PART = 0.55  # of the multiple at which a cold appliance falls over: what it gets at most
 COLD_MULTIPLE = 2  # of its even part
+MAX_WAIT_PART = 0.25  # of the fall time: what waits for longer to be sent would leave in one burst
+DEFAULT_FALL_TIME = SECOND  # where the settings have none
 IN_PLACE_REDUCTION = 0.5  # of this multiple, where builds change in place
 
 
@@ -84,6 +87,15 @@
             return True
         return warmth(self.state, appliance) >= 1.0
 
+    def still_allows(self, appliance: Appliance, earned_at: int) -> bool:
+        """Returns whether a dispatch that was earned then, and had to wait, may be sent now.
+
+        Guards against dispatches of all agents that wait until a server begins to accept connections.
+        """
+        waited = self.state.host.now - earned_at
+        most = MAX_WAIT_PART * self.state.settings.get("fall_time", DEFAULT_FALL_TIME)
+        return waited <= most or warmth(self.state, appliance) >= 1.0
+
     def spend(self, appliance: Appliance) -> None:
         """Counts a dispatch that is sent."""
         self.credit -= warmth(self.state, appliance) < 1.0
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -79,3 +79,17 @@
     slow_start.earn()
     even_part = 0.3 / 11
     assert slow_start.rate == pytest.approx(2 * even_part, rel=0.05)
+
+
+@pytest.mark.parametrize("waited, sent", [(240 * MS, True), (260 * MS, False)])
+def test_dispatches_that_waited_long_for_a_cold_appliance_do_not_leave_together(waited, sent):
+    scene = Scene(warm_time=60 * S, cold_share=0.3)
+    scene.list("a", started=1)
+    scene.released()
+    scene.agent.slow_start.credit = 0.5
+    scene.agent.slow_start.candidate = scene.fleet["a"]
+    scene.agent.slow_start.earn = lambda: None
+    scene.take(scene.draw)
+    (dispatch,) = scene.out
+    scene.engine.advance_to(waited)
+    assert scene.engine.may_send(dispatch) == sent
