--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -35,6 +35,7 @@
 NEW_CONNECTIONS = 0.4  # seconds after SIGTERM for which the front still connects
 FAILURE_NOTICED = 1.0  # seconds after which the front notices that an agent has died
 STAGE_TIME = 2.5  # seconds
+STALL_TIME = 0.12  # seconds for which an agent stands still; up to 0.15 are allowed for
 REMOVED_AFTER = 2.0  # seconds from the announcement that a server leaves to its removal
 HALF_REQUEST_TIME = 3.0  # seconds within which a half request gets an error or a close
 HALF_REQUEST_SLACK = 0.3
@@ -119,6 +120,7 @@
             kinds.ADD_SERVERS: self._add_servers,
             kinds.KILL_AGENTS: self._kill_agents,
             kinds.STOP_AGENTS: self._stop_agents,
+            kinds.STALL_AGENTS: self._stall_agents,
             kinds.RELOAD_AGENTS: self._reload_agents,
             kinds.DISCOVERY_DOWN: lambda action: self._set_discovery(action, DOWN),
             kinds.DISCOVERY_CROWDED: lambda action: self._set_discovery(action, CROWDED),
@@ -358,6 +360,18 @@
         await self._open_front(agent)
         self._busy_agents.discard(agent.number - 1)
 
+    async def _stall_agents(self, action: Action) -> None:
+        agents = self._free_agents(action)
+        end = monotonic() + int(action.seconds * SECOND)
+        while monotonic() < end:
+            for agent in agents:
+                agent.signal(signal.SIGSTOP)
+            await asyncio.sleep(STALL_TIME)
+            for agent in agents:
+                agent.signal(signal.SIGCONT)
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        self._busy_agents -= {agent.number - 1 for agent in agents}
+
     async def _reload_agents(self, action: Action) -> None:
         agents = self._free_agents(action)
         for _ in range(2):
--- a/cartweir/soak/schedule.py
+++ b/cartweir/soak/schedule.py
@@ -19,6 +19,7 @@
 ADD_SERVERS = "add_servers"  # new, cold
 KILL_AGENTS = "kill_agents"
 STOP_AGENTS = "stop_agents"  # signals in series, SIGKILL at the earliest moment, and a new process
+STALL_AGENTS = "stall_agents"  # stopped and continued, again and again
 RELOAD_AGENTS = "reload_agents"  # SIGHUP, twice in a row, with another address of discovery
 DISCOVERY_DOWN = "discovery_down"
 DISCOVERY_CROWDED = "discovery_crowded"
@@ -36,6 +37,7 @@
     ADD_SERVERS: 1,
     KILL_AGENTS: 1,
     STOP_AGENTS: 2,
+    STALL_AGENTS: 1,
     RELOAD_AGENTS: 1,
     DISCOVERY_DOWN: 1,
     DISCOVERY_CROWDED: 1,
@@ -197,7 +199,7 @@
     kind = kind or chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
     at = chance.uniform(QUIET_START, max(QUIET_START, seconds - QUIET_END))
     length = chance.uniform(0.5, 4.0)
-    if kind in (KILL_AGENTS, STOP_AGENTS, RELOAD_AGENTS):
+    if kind in (KILL_AGENTS, STOP_AGENTS, STALL_AGENTS, RELOAD_AGENTS):
         most = max(1, round(0.7 * deployment.agents))
         targets = chance.sample(range(deployment.agents), chance.randint(1, most))
     else:
--- a/cartweir/soak/shim.py
+++ b/cartweir/soak/shim.py
@@ -16,6 +16,7 @@
 import runpy
 import socket
 import sys
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -25,6 +26,7 @@
 from .plan import BROKEN, SHORT, CallFault, ProcessPlan
 
 MAX_SHORT_READ = 7  # bytes
+PARENT_CHECK_INTERVAL = 1.0  # seconds
 STANDARD_ERROR = 2  # descriptor
 _REQUEST_ID = re.compile(rb"X-Request-ID: ([!-~]+)\r\n")
 
@@ -197,8 +199,21 @@
     return OSError(code, os.strerror(code))
 
 
+def end_with_parent() -> None:
+    """Ends this process once the one that started it has gone, so that no run leaves agents behind."""
+    parent = os.getppid()
+
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_CHECK_INTERVAL)
+        os._exit(1)
+
+    threading.Thread(target=watch, daemon=True).start()
+
+
 def main() -> None:
     """Installs the faults and runs the module."""
+    end_with_parent()
     plan, record, module = sys.argv[1:4]
     shim = Shim(ProcessPlan.read(Path(plan)), Path(record))
     shim.install_clock()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,149 @@
+"""The fault soak: some seeds in short, and what its oracle finds in records that break a rule on purpose."""
+
+from __future__ import annotations
+
+import pytest
+
+from cartweir.soak.appliance import ApplianceMake
+from cartweir.soak.clients import ANSWERED, ENDED, ISSUE, LEFT, ORDER, VIEW, RequestRecord
+from cartweir.soak.platform import DOWN, UP, Listing, StageTold, Told
+from cartweir.soak.records import Attempt, ServerRecords
+from cartweir.soak.rules import AgentLife, Evidence, check_all
+from cartweir.soak.run import play
+from cartweir.soak.schedule import SECOND, WEIGHTS, Deployment, draw_schedule
+
+MS = 1000
+SECONDS = 10.0
+DEPLOYMENT = Deployment(drain_grace=SECOND, cold_share=0.1, warm_time=10 * SECOND)
+
+
+@pytest.mark.parametrize("seed", [2, 3, 8, 11])
+def test_a_short_soak_keeps_all_rules(tmp_path, seed):
+    result = play(draw_schedule(seed, SECONDS), tmp_path)
+    assert result.breaches == [], result.text()
+    assert result.processes >= 10 and result.endings.get("answered 200", 0) > 100, result.text()
+
+
+def test_a_seed_draws_the_same_run_each_time_and_all_kinds_of_faults_come():
+    assert draw_schedule(7, 15.0) == draw_schedule(7, 15.0) != draw_schedule(8, 15.0)
+    runs = [draw_schedule(seed, 15.0) for seed in range(60)]
+    assert {action.kind for run in runs for action in run.actions} == set(WEIGHTS)
+    calls = {(fault.call, fault.error) for run in runs for plan in run.plans for fault in plan.calls}
+    assert len(calls) >= 20 and any(plan.steps for run in runs for plan in run.plans)
+
+
+# ---- the oracle ----
+def request(request_id: str, operation: str = VIEW, at: int = SECOND, **more) -> RequestRecord:
+    fields = {"time_limit": SECOND, "ending": ANSWERED, "ended_at": at + 50 * MS, "status": 200, **more}
+    return RequestRecord(
+        request_id, 1, 0, operation, written_at=at, reused=False, **{"body": request_id.encode(), **fields}
+    )
+
+
+def attempt(request_id: str, at: int, server: str = "s0", timeout: int = 100 * MS) -> Attempt:
+    return Attempt(at, server, request_id, 1, timeout, "")
+
+
+def listing(version: int, status: str = "up", at: int = 0, started_at: int = 0) -> Listing:
+    return Listing(version, "s0", 1, "a", status, 1 if started_at else 0, started_at, 2, at)
+
+
+def evidence(requests=(), attempts=(), listings=(), told=(), **more) -> Evidence:
+    """Returns the records of a run with one server and one agent; more: stages, modes, or of its process."""
+    stages, modes = more.pop("stages", ()), more.pop("modes", ((0, UP),))
+    make = ApplianceMake("s0", 1, 2, 2, 40, 40 * MS, 0.1, 10 * SECOND, SECOND, 1)
+    return Evidence(
+        DEPLOYMENT,
+        {"s0": make},
+        requests,
+        ServerRecords(sorted(attempts, key=lambda each: each.at)),
+        {each.id: each.written_at for each in requests},
+        listings or [listing(1)],
+        told,
+        modes,
+        stages,
+        (1.0, 4 * SECOND),
+        [AgentLife(1, 0, 0, 1, **more)],
+    )
+
+
+def rules(found: Evidence) -> list[int]:
+    return [breach.rule for breach in check_all(found)]
+
+
+def test_the_oracle_accepts_what_is_allowed():
+    assert rules(evidence([request("r")], [attempt("r", SECOND + 10 * MS)])) == []
+    gone = request("r", ending=ENDED, status=0)
+    assert rules(evidence([gone], killed_at=SECOND + 50 * MS)) == []
+
+
+@pytest.mark.parametrize(
+    "found, rule",
+    [
+        (evidence(exit_code=1), 0),
+        (evidence(errors=["invariant_violated"]), 0),
+        (evidence([request("r", ending=ENDED, status=0)]), 1),
+        (evidence([request("r", ended_at=3 * SECOND)]), 1),
+        (evidence([request("r", body=b"q")]), 1),
+        (evidence([request("r", status=408)]), 1),
+        (evidence([request("r", ending=ENDED)], terminated_at=1, killed_at=SECOND), 1),
+        (evidence([request("r")], [attempt("r", SECOND + 300 * MS)]), 1),
+        (evidence([request("r", ending=LEFT)], [attempt("r", SECOND + 300 * MS)]), 1),
+        (evidence([request("r")], [attempt("r", SECOND + 10 * MS, timeout=2 * SECOND)]), 1),
+        (evidence([request("r", ISSUE)], [attempt("r", SECOND + n * MS) for n in (1, 2)]), 2),
+        (
+            evidence(
+                [request("r", ORDER, ended_at=4 * SECOND, time_limit=4 * SECOND)],
+                [attempt("r", SECOND), attempt("r", SECOND + 2100 * MS)],
+            ),
+            2,
+        ),
+        (
+            evidence(
+                [request("r", at=3 * SECOND)],
+                [attempt("r", 3 * SECOND + MS)],
+                [listing(1), listing(2, "draining", SECOND)],
+                [Told(1, 2, SECOND)],
+            ),
+            3,
+        ),
+        (
+            evidence(
+                [request("r", at=9 * SECOND)],
+                [attempt("r", 9 * SECOND + MS)],
+                [listing(1), listing(2, "draining", SECOND)],  # written to nobody, announced after 6 s
+            ),
+            3,
+        ),
+        (
+            evidence(
+                [request(f"r{n}") for n in range(40)],
+                [attempt(f"r{n}", SECOND + n * MS) for n in range(40)],
+                [listing(1), listing(2, at=SECOND, started_at=SECOND - 1)],
+                [Told(1, 2, SECOND - 1)],
+            ),
+            4,
+        ),
+        (
+            evidence(
+                [request(f"r{n}") for n in range(10)],
+                [attempt(f"r{n}", SECOND + n * MS) for n in range(10)],
+                stages=[(1, StageTold(0, 2, 0, "testing", 0.1), 0)],
+            ),
+            5,
+        ),
+    ],
+)
+def test_the_oracle_finds_a_rule_that_is_broken_on_purpose(found, rule):
+    assert set(rules(found)) == {rule}
+
+
+def test_a_drain_that_could_not_be_announced_is_no_breach():
+    """Discovery was down until after the request, and wrote nothing."""
+    found = evidence(
+        [request("r", at=9 * SECOND)],
+        [attempt("r", 9 * SECOND + MS)],
+        [listing(1), listing(2, "draining", SECOND)],
+        modes=((0, UP), (SECOND // 2, DOWN)),
+    )
+    assert rules(found) == []
