A send that finds no buffers is tried again after a pause, not in a busy loop

Cause: the socket stays writable, so the loop called _writable at once again and again.

Why this works: ENOBUFS and ENOMEM take the watch away for 5 ms. EINTR is answered by calling again.

The soak no longer draws EINTR for all calls of a while: it comes once, and then passes; kept up for 0.3 s it only held up the reading.

--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -18,8 +18,10 @@
 
 READ_SIZE = 64 * 1024  # bytes read at a time
 # errors of a call that may succeed later: the connection is as good as before
-MOMENTARY_ERRORS = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+NO_BUFFERS = frozenset((errno.ENOBUFS, errno.ENOMEM))
+MOMENTARY_ERRORS = NO_BUFFERS | {errno.EAGAIN, errno.EINTR}
 MAX_PORT = 65_535
+BUFFER_PAUSE = 5_000  # microseconds after which a send that found no buffers is tried again
 
 
 class ReadOnReadyStream(IOStream):
@@ -109,11 +111,12 @@
         closed: Whether it has been closed.
     """
 
-    __slots__ = ("_fd", "_unsent", "closed", "loop", "owner", "socket")
+    __slots__ = ("_fd", "_pause", "_unsent", "closed", "loop", "owner", "socket")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, owner: SocketOwner) -> None:
         self.loop, self.socket, self.owner = loop, sock, owner
         self._fd, self._unsent, self.closed = sock.fileno(), b"", False
+        self._pause: asyncio.TimerHandle | None = None  # before what is unsent is tried again
         with contextlib.suppress(OSError):  # the connection has broken already: the reader will notice
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.add_reader(self._fd, self._readable)
@@ -162,17 +165,27 @@
         taken = self._send(data)
         if taken < len(data):
             self._unsent = data[taken:]
-            self.loop.add_writer(self._fd, self._writable)
+            if self._pause is None:
+                self._watch_writable()
 
     def _send(self, data: bytes) -> int:
         """Returns how many bytes the kernel has taken; raises OSError if the connection has ended."""
         try:
             return self.socket.send(data)
+        except InterruptedError:
+            return self._send(data)
         except OSError as error:
             if error.errno not in MOMENTARY_ERRORS:
                 raise
+            if error.errno in NO_BUFFERS:
+                self._pause = self.loop.call_later(BUFFER_PAUSE / 1e6, self._watch_writable)
             return 0
 
+    def _watch_writable(self) -> None:
+        """Has the loop tell when the kernel takes more, unless that has to wait a moment."""
+        self._pause = None
+        self.loop.add_writer(self._fd, self._writable)
+
     def _writable(self) -> None:
         try:
             self._unsent = self._unsent[self._send(self._unsent) :]
@@ -182,6 +195,8 @@
         if not self._unsent:
             self.loop.remove_writer(self._fd)
             self.owner.on_sent()
+        elif self._pause is not None:  # the socket is writable all the while
+            self.loop.remove_writer(self._fd)
 
     def shutdown_write(self) -> None:
         """Closes the sending side, and goes on reading."""
@@ -193,7 +208,9 @@
         if not self.closed:
             self.closed = True
             self.loop.remove_reader(self._fd)
-            if self._unsent:
+            if self._pause is not None:
+                self._pause.cancel()
+            elif self._unsent:
                 self.loop.remove_writer(self._fd)
             self.socket.close()
 
--- a/cartweir/soak/schedule.py
+++ b/cartweir/soak/schedule.py
@@ -219,7 +219,8 @@
     for _ in range(chance.randint(0, 5)):
         call, error = chance.choice(CALL_ERRORS)
         begin = chance.uniform(0, seconds)
-        share = BROKEN_SHARE if error in BROKEN else chance.choice(FAILING_SHARES)
+        shares = FAILING_SHARES[:-1] if error == "EINTR" else FAILING_SHARES  # it comes once, and then passes
+        share = BROKEN_SHARE if error in BROKEN else chance.choice(shares)
         length = chance.uniform(0.1, 2.0) * (MOMENT if share == 1 and call != "log" else 1)
         end = begin + length
         calls.append(CallFault(call, error, int(begin * SECOND), int(end * SECOND), share))
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -64,3 +64,11 @@
     """A server was told 260 ms where the client had 91 ms left."""
     result = play_failing(tmp_path, ("accept", "ENOBUFS", 1.0, 0.6))
     assert result.breaches == [], result.text()
+
+
+def test_a_send_that_finds_no_buffers_is_not_repeated_in_a_busy_loop(tmp_path):
+    """The socket is writable all the while; send was called 100,000 times a second."""
+    seconds = 0.5
+    result = play_failing(tmp_path, ("send", "ENOBUFS", 1.0, seconds))
+    most_connections = 200
+    assert result.faults["send ENOBUFS"] <= most_connections * seconds / 0.005, result.text()
