A request that could not be written at once is sent anew, not with its old time

Cause: the time for the server is written into the head when the request gets its connection. Where the kernel took nothing of it for a while, it left later, unchanged; a repeat could so leave after its window, too.

Why this works: what the kernel takes nothing of has provably not run. It ends as obsolete, which blames no server, and the decisions send it anew if that is still of use.

--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -281,6 +281,10 @@
             self.socket.write(data)
         except OSError as error:  # reported once the sender has returned
             self.pool.pools.loop.call_soon(self._lost, error.strerror or str(error), ours.UNCONNECTED)
+            return
+        if self.socket.unsent == len(data):
+            # It has not left, and the time that it tells runs out: it is sent anew, if at all.
+            self.pool.pools.loop.call_soon(self._lost, "nothing of it was taken", ours.OBSOLETE)
 
     def on_data(self, data: bytes) -> None:
         """Handles input from the appliance."""
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -72,3 +72,9 @@
     result = play_failing(tmp_path, ("send", "ENOBUFS", 1.0, seconds))
     most_connections = 200
     assert result.faults["send ENOBUFS"] <= most_connections * seconds / 0.005, result.text()
+
+
+def test_a_request_that_could_not_be_written_at_once_is_not_sent_with_its_old_time(tmp_path):
+    """A server was told 988 ms where the client had 809 ms left."""
+    result = play_failing(tmp_path, ("send", "ENOBUFS", 1.0, 0.25))
+    assert [str(breach) for breach in result.breaches if "told" in breach.what] == [], result.text()
