A followed stage whose file could not be written is written with its next message

After a restart an agent could follow an older decision of the controllers than one it had followed, if the disk had been full for one write.

Cause: PersistentFence.try_follow took the token for stored also where write_atomically had raised.

Evidence: test_a_stage_whose_file_could_not_be_written_is_written_with_its_next_message, failed before, passes now.

Why this works: only what was written counts as stored; the controllers repeat the stage, and each repetition tries again.

--- a/cartweir/agent/control_plane.py
+++ b/cartweir/agent/control_plane.py
@@ -340,8 +340,10 @@
             try:
                 await asyncio.get_running_loop().run_in_executor(None, write_atomically, self.path, text)
             except OSError as error:
+                # the next message about this stage tries again: the controllers repeat it
                 self.log_event("stage_file_bad", level="warning", file=str(self.path), reason=error.strerror)
-            self._stored = max(self._stored, token)
+            else:
+                self._stored = max(self._stored, token)
         if may_follow := token == self.fence.seen:
             self.on_follow(token, build)
         return may_follow
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import random
 
@@ -10,9 +11,11 @@
 from test_calls import ask, sockets
 from test_processes import Offering
 
-from cartweir.agent.control_plane import ConveyorClient, write_atomically
+from cartweir.agent import control_plane
+from cartweir.agent.control_plane import ConveyorClient, PersistentFence, write_atomically
 from cartweir.agent.daemon import Daemon
 from cartweir.agent.grpc_mapping import load_of
+from cartweir.fleet.fencing import FencingToken
 from cartweir.hosting.backoff import Backoff
 from cartweir.proto import agent_pb2 as pb
 from cartweir.proto import orca_pb2
@@ -200,3 +203,23 @@
     client.stop()
     await asyncio.wait([client._listener], timeout=1)
     assert client._listener.done()
+
+
+@sockets
+async def test_a_stage_whose_file_could_not_be_written_is_written_with_its_next_message(
+    tmp_path, monkeypatch
+):
+    """It counted as kept, and a restarted agent followed an older decision."""
+    path, full = tmp_path / "stage", True
+
+    def write(where, text):
+        if full:
+            raise OSError(errno.ENOSPC, "no space left")
+        write_atomically(where, text)
+
+    monkeypatch.setattr(control_plane, "write_atomically", write)
+    fence = PersistentFence(str(path), lambda event, **fields: None)
+    assert await fence.try_follow(FencingToken(2, 5)) and not path.exists()
+    full = False
+    assert await fence.try_follow(FencingToken(2, 5))
+    assert PersistentFence(str(path), lambda event, **fields: None).fence.seen == FencingToken(2, 5)
