--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -10,7 +10,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 
 from ..faults.ports import free_addresses
@@ -22,6 +22,7 @@
 from .platform import CROWDED, DOWN, SILENT, UP, Discovery, ReleaseService, address_for, unix_milliseconds
 from .processes import AgentProcess, ServerProcess
 from .records import read_requests_read, read_server_records
+from .result import Result
 from .rules import Breach, Evidence, check_all, cold_pressures
 from .schedule import SECOND, Action, Schedule
 from .settings import FREE_ATTEMPTS, SHARES, STAGE_CAPS, WINDOW, make_settings
@@ -43,51 +44,6 @@
 FIRST_SPAWN_SECONDS = 1.0  # between the start of the clients and the first moment of the plans
 
 
-@dataclass(frozen=True)
-class Result:
-    """What became of a run.
-
-    Attributes:
-        seed: Its seed.
-        breaches: The broken rules.
-        endings: Requests by how they ended, answers by their status.
-        actions: Actions by kind.
-        faults: Injected faults by call and error.
-        processes: Processes that ran at the same time, at most.
-        starts: Starts of servers that were told.
-        cold_pressure: The highest share that a cold server got of what pushes one over.
-        violations: Violations that agents counted themselves, by invariant.
-    """
-
-    seed: int
-    breaches: list[Breach]
-    endings: dict[str, int]
-    actions: dict[str, int]
-    faults: dict[str, int]
-    processes: int
-    starts: int
-    cold_pressure: float
-    violations: dict[str, int]
-
-    def text(self) -> str:
-        """Returns the result as lines."""
-        verdict = f"{len(self.breaches)} breaches" if self.breaches else "all rules kept"
-        lines = [
-            f"seed {self.seed}: {verdict}; {self.processes} processes, {self.starts} cold starts, "
-            f"at most {self.cold_pressure:.2f} of a fall",
-            f"  requests: {_counts(self.endings)}",
-            f"  actions: {_counts(self.actions)}",
-            f"  faults: {_counts(self.faults)}",
-        ]
-        if self.violations:
-            lines.append(f"  counted by the agents themselves: {_counts(self.violations)}")
-        return "\n".join(lines + [f"  {breach}" for breach in self.breaches[:20]])
-
-
-def _counts(counts: dict[str, int]) -> str:
-    return ", ".join(f"{name} {count}" for name, count in sorted(counts.items())) or "none"
-
-
 class Run:
     """One run.
 
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cartweir.soak.plan import ClockStep, ProcessPlan
-from cartweir.soak.run import Result, play
+from cartweir.soak.result import Result
+from cartweir.soak.run import play
 from cartweir.soak.schedule import (
     ADD_SERVERS,
     KILL_AGENTS,
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -5,7 +5,8 @@
 import pytest
 
 from cartweir.soak.plan import CallFault, ProcessPlan
-from cartweir.soak.run import Result, play
+from cartweir.soak.result import Result
+from cartweir.soak.run import play
 from cartweir.soak.schedule import SECOND, STOP_AGENTS, Action, Deployment, Schedule
 
 AGENTS = 2
