The guard of dispatches stands with the decisions

It holds dispatches back and has a value of its own (deviations), so it belongs into cartweir/logic, as the project's rules have it, not among the hosts.

--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -18,8 +18,8 @@
 from .. import interface as ours
 from ..engine import Engine
 from ..interface import Appliance, Dispatch, Invocation, Operation, Outcome, Stage, Tally, Throttle
+from ..logic.dispatch_guard import DispatchGuard
 from .appliance_list import ApplianceList, ListEntry
-from .dispatch_guard import DispatchGuard
 
 if TYPE_CHECKING:
     from ..fleet.key_journal import RecoveredKeys
--- a/cartweir/hosting/dispatch_guard.py
+++ b/cartweir/logic/dispatch_guard.py
@@ -8,14 +8,13 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import StrEnum
 from typing import Any
 
 from ..interface import FINGERPRINTED, IDEMPOTENT, NEVER_RAN, READY, Appliance, Dispatch
-from ..logic import Agent
-from ..logic.slow_start import COLD_MULTIPLE, DEFAULT_FALL_TIME, warmth
-from .event_log import EventLogger
+from .agent import Agent
+from .slow_start import COLD_MULTIPLE, DEFAULT_FALL_TIME, warmth
 
 DEVIATIONS = 3  # standard deviations by which chance may exceed a cold appliance's mean, and dispatches
 
@@ -41,7 +40,7 @@
         violations: Violations so far, by invariant.
     """
 
-    def __init__(self, agent: Agent, settings: Mapping[str, Any], log_event: EventLogger) -> None:
+    def __init__(self, agent: Agent, settings: Mapping[str, Any], log_event: Callable[..., None]) -> None:
         self.agent, self.settings, self.log_event = agent, settings, log_event
         self.violations: Counter[Invariant] = Counter()
         self._fall_time = settings.get("fall_time", DEFAULT_FALL_TIME)
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -16,11 +16,11 @@
 from typing import Any
 
 from ..hosting.clock import Clock
-from ..hosting.dispatch_guard import Invariant
 from ..hosting.engine_host import EngineHost
 from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import NonBlockingSocket, split_address
 from ..interface import FINGERPRINTED, IDEMPOTENT, Invocation, Operation
+from ..logic.dispatch_guard import Invariant
 from . import http1, protocol
 from .http1 import HttpError, Request, RequestParser
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -20,7 +20,7 @@
 from cartweir.audit.rules import Excuse, check_drains, check_one_answer
 from cartweir.audit.run import audit, numeric_order
 from cartweir.hosting.clock import monotonic
-from cartweir.hosting.dispatch_guard import Invariant
+from cartweir.logic.dispatch_guard import Invariant
 from cartweir.proto import agent_pb2 as pb
 from cartweir.settings.ini import read_agent
 from cartweir.standin.appliance import Fleet, Make, Quality
--- a/tests/test_dispatch_guard.py
+++ b/tests/test_dispatch_guard.py
@@ -8,7 +8,7 @@
 from test_calls import sockets
 
 from cartweir.hosting.appliance_list import ListEntry
-from cartweir.hosting.dispatch_guard import Invariant
+from cartweir.logic.dispatch_guard import Invariant
 from cartweir.node.front import CloseReason
 
 
