Log memory, descriptors and why requests were refused

New: 'memory_reached' as a tenth of limits.memory_mb is reached for the first time, 'resources' with each 'counts', 'refused' with status and reason (ten a second at most, the others counted) in the node and the gRPC agent, refused_STATUS in 'counts'. limits.memory_mb is read (0 counts as absent); nothing goes by it yet. 330 tests of eight files passed.

--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -14,6 +14,7 @@
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
 from ..hosting.event_log import EventLogger
+from ..hosting.log_limiter import LogLimiter
 from ..hosting.receive_queue import QueuedData, queued_data
 from ..hosting.tcp import ReadOnReadyStream, split_address
 from ..interface import Invocation, Operation
@@ -81,6 +82,7 @@
         self._loop = IOLoop.current()
         self._out_of_descriptors = False
         self._over_limit = False
+        self._refusals_logged = LogLimiter()
 
     # ---- listening ----
     def listen(self, address: str) -> str:
@@ -207,6 +209,17 @@
         self._over_limit = self._over_limit and len(self.connections) >= self.limits.connections
         self.log_event("client_lost", level="debug", client=connection.peer_address, why=why)
 
+    def log_refusal(self, call: ClientCall, status: int, text: str) -> None:
+        """Logs some of the refused calls with the reason."""
+        if self._refusals_logged.allows(self.clock.now()):
+            self.log_event(
+                "refused",
+                status=int(status),
+                why=text,
+                stream=call.stream.id,
+                suppressed=self._refusals_logged.take_suppressed(),
+            )
+
     # ---- answers that are being sent ----
     def expect_end(self, call: ClientCall) -> None:
         """Watches an answer that has been given but not sent completely.
@@ -409,6 +422,7 @@
     # ---- the answer ----
     def refuse(self, status: int, text: str) -> None:
         """Answers that the call is not accepted."""
+        self.front.log_refusal(self, status, text)
         self._answered = True
         self.body = []
         self.stream.send_headers(grpc_mapping.refused(status, text), end=True)
--- a/cartweir/node/config.py
+++ b/cartweir/node/config.py
@@ -12,6 +12,8 @@
 from ..hosting.tcp import split_address
 
 DEFAULT_SOCKET_LIMIT = 1024  # file descriptors
+DEFAULT_MEMORY_LIMIT = 192  # megabytes
+BYTES_PER_MEGABYTE = 1_000_000
 MAX_QUOTED_VALUE = 60  # characters of a wrong value that an error message quotes
 
 # Values in the environment that stand in for members missing from the file.
@@ -38,6 +40,7 @@
         discovery: Address of the service that lists appliances.
         seed: Seed of the agent's random decisions.
         sockets: File descriptors that the agent may use.
+        memory_limit: Bytes of memory over which the agent is killed.
         peer_listen: Address for datagrams of other agents; None where there are none.
         peers: Addresses of all agents' datagram sockets, in the order of their numbers.
         peers_all: Address that reaches all agents at once; None where there is none.
@@ -52,6 +55,7 @@
     discovery: str
     seed: int
     sockets: int
+    memory_limit: int
     peer_listen: str | None
     peers: list[str]
     peers_all: str | None
@@ -111,6 +115,16 @@
     return value
 
 
+def _memory_limit(limits: Mapping[str, Any]) -> int:
+    """Returns the memory limit in bytes; 0 counts as absent."""
+    megabytes = limits.get("memory_mb") or DEFAULT_MEMORY_LIMIT
+    if isinstance(megabytes, bool) or not isinstance(megabytes, (int, float)) or megabytes < 0:
+        raise ConfigError(
+            f"limits.memory_mb: {str(megabytes)[:MAX_QUOTED_VALUE]!r}; expected a number of megabytes"
+        )
+    return int(megabytes * BYTES_PER_MEGABYTE)
+
+
 def _parse_decision_settings(settings: Mapping[str, Any]) -> dict[str, Any]:
     try:
         decision_settings = parse_settings(settings)
@@ -139,7 +153,7 @@
         if variable in environment
     }
     document = {**from_environment, **document}
-    limits = _member(document, "limits", dict, "an object with sockets", {})
+    limits = _member(document, "limits", dict, "an object with memory_mb and sockets", {})
     pipeline = _member(document, "pipeline", dict, "an object with address and news")
     peers = _member(document, "peers", list, "a list of addresses", [])
     for number, peer in enumerate(peers):
@@ -156,6 +170,7 @@
             discovery=_address(document, "discovery"),
             seed=int(seed, 16),
             sockets=_member(limits, "sockets", int, "a number of descriptors", DEFAULT_SOCKET_LIMIT),
+            memory_limit=_memory_limit(limits),
             peer_listen=_address(document, "peer_listen", None),
             peers=peers,
             peers_all=_address(document, "peers_all", None),
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -17,6 +17,7 @@
 from ..hosting.clock import Clock, arrival_selector
 from ..hosting.engine_host import EngineHost
 from ..hosting.log_stream import LogStream
+from ..hosting.process_resources import ResidentMemory, open_descriptors
 from ..interface import Appliance, Dispatch
 from .appliance_pools import ApplianceOptions, AppliancePools, Attempt
 from .config import Config, ConfigError, read
@@ -33,6 +34,7 @@
 RECONNECT_DELAYS = 50 * MS, S  # shortest and longest
 DRAIN_CHECK_INTERVAL = 20 * MS
 COUNTS_INTERVAL = 30 * S
+MEMORY_PARTS = 10  # of the limit; each one that is reached for the first time is logged
 READY_WITHIN = 5 * S  # of the start: a new process waits this long for discovery before it invites clients
 
 RESERVED_SOCKETS = 24  # descriptors for what is neither a client nor an appliance
@@ -95,6 +97,8 @@
         )
         self.front = Front(self.engine_host, self.clock, sockets // 2, self.log_event, self._ready)
         self.started_at = self.clock.now()
+        self._resident_memory = ResidentMemory()
+        self._memory_part = 0  # the highest part of the limit that the memory has reached
         self.ended = asyncio.Event()
 
     # ---- the environment of the engine host ----
@@ -173,12 +177,33 @@
         """Logs what became of requests and connections since the start, if anything has."""
         counts = {
             **self.engine_host.counts,
+            **{f"refused_{status}": count for status, count in self.front.refused.items()},
             **{f"closed_{reason}": count for reason, count in self.front.closed.items()},
             **{f"violated_{name}": count for name, count in self.engine_host.guard.violations.items()},
         }
         if counts != self._logged_counts:
             self._logged_counts = counts
             self.log_event("counts", **dict(sorted(counts.items())))
+            self._log_resources("resources")
+
+    def _log_resources(self, event: str) -> None:
+        """Logs what this process takes, and what for."""
+        self.log_event(
+            event,
+            resident_kb=self._resident_memory.measure() // 1024,
+            limit_kb=self.config.memory_limit // 1024,
+            descriptors=open_descriptors(),
+            clients=len(self.front.clients),
+            open_requests=len(self.engine_host.calls),
+            appliance_connections=self.appliance_pools.connection_count,
+        )
+
+    def _check_memory(self) -> None:
+        """Logs each part of the memory limit that is reached for the first time."""
+        part = self._resident_memory.measure() * MEMORY_PARTS // self.config.memory_limit
+        if part > self._memory_part:
+            self._memory_part = part
+            self._log_resources("memory_reached")
 
     def _log_counts_again(self) -> None:
         self._log_counts()
@@ -192,6 +217,7 @@
         stalled = self.clock.measure_stall()
         if stalled > STALL_TIME:
             self.log_event("stalled", level="warning", milliseconds=stalled // 1000)
+        self._check_memory()
         self.loop.call_later(HEARTBEAT / 1e6, self._beat)
 
     def reload(self) -> None:
@@ -226,7 +252,7 @@
             self._log_counts()
             self.log_event(
                 "stopped",
-                refused=self.front.refused,
+                refused=self.front.refused.total(),
                 evicted=self.front.evicted,
                 violations=self.engine_host.guard.violations.total(),
             )
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -17,6 +17,7 @@
 
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
+from ..hosting.log_limiter import LogLimiter
 from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import NonBlockingSocket, split_address
 from ..interface import FINGERPRINTED, IDEMPOTENT, Invocation, Operation
@@ -216,7 +217,7 @@
     # ---- output ----
     def refuse(self, status: int, reason: str) -> None:
         """Responds with an error of the front itself, and ends the connection."""
-        self.front.refused += 1
+        self.front.record_refusal(self, status, reason)
         self.abandon_call()
         self.keep_alive = False
         self.respond(status, reason.encode("latin-1", "replace") + b"\n")
@@ -276,7 +277,7 @@
         idle: Connections without an open request, the one idle for longest first.
         calls: Open requests by their id.
         draining: The order to end has come.
-        refused: Requests refused so far.
+        refused: Requests refused so far, by the status of their responses.
         evicted: Connections closed so far to make room.
         closed: Connections closed so far, by reason.
         max_time_limit: The longest time limit of any operation.
@@ -301,7 +302,9 @@
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self.calls: dict[bytes, ClientCall] = {}
         self.draining = False
-        self.refused = self.evicted = 0
+        self.refused: Counter[int] = Counter()
+        self.evicted = 0
+        self._refusals_logged = LogLimiter()
         self.closed: Counter[CloseReason] = Counter()
         self.max_time_limit = max(
             (operation.time_limit for operation in engine_host.operations.values()), default=0
@@ -444,6 +447,18 @@
         ) and client.socket.nothing_to_read():
             client.close(CloseReason.DRAINING if client.served else CloseReason.NO_REQUEST)
 
+    def record_refusal(self, client: ClientConnection, status: int, reason: str) -> None:
+        """Counts a refused request, and logs some of them with the reason."""
+        self.refused[status] += 1
+        if self._refusals_logged.allows(self.clock.now()):
+            self.log_event(
+                "refused",
+                status=status,
+                why=repr(reason),
+                open_request=client.call.id.decode("latin-1") if client.call else "",
+                suppressed=self._refusals_logged.take_suppressed(),
+            )
+
     # ---- requests ----
     def handle_request(self, client: ClientConnection, request: Request) -> None:
         """Checks a request and hands it to the decisions.
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -310,6 +310,7 @@
 async def running_node(
     *appliances: Appliance,
     sockets: int = 256,
+    memory_limit: int = 192_000_000,
     news: dict[str, Any] | None = None,
     drain_grace: float = 2000.0,
     **allowed: Any,
@@ -319,6 +320,7 @@
     Args:
         appliances: Not started yet.
         sockets: The node's limit on descriptors.
+        memory_limit: The node's limit on memory, in bytes.
         news: State of the newest build in the configuration.
         drain_grace: In milliseconds.
         allowed: Changes to the settings below `allowed`.
@@ -338,6 +340,7 @@
         discovery=discovery.address,
         seed=7,
         sockets=sockets,
+        memory_limit=memory_limit,
         peer_listen=None,
         peers=[],
         peers_all=None,
