--- /dev/null
+++ b/tests/test_grpc_memory_limit.py
@@ -0,0 +1,98 @@
+"""Incident 0821ae on the gRPC agent, on one core and on several: memory, and callers that waited."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+from node_process import run_hostile_clients
+from peers import VIEW, Client, answer
+from test_calls import sockets
+from test_processes import end, world
+
+from cartweir.hosting.process_resources import peak_resident_bytes
+from cartweir.soak.hostile_plan import HTTP2_CROWDS, HTTP2_FLOODS, Attack, HostilePlan
+
+REQUEST_MEMORY = 32 << 20  # bytes, the default of [wire] request_memory
+CONNECTION_MEMORY = 16 << 20  # bytes for 20 connections with 100 streams each, besides their requests
+CROWD = 20
+SECONDS = 3.0
+MAX_STALLED_SHARE = 0.1  # of the time of a flood
+TIME_LIMIT = 2.0  # seconds, of the calls
+
+
+def processes(process):
+    """Returns the ids of the processes that hold clients' connections."""
+    parts = process.of("started")[0].get("parts")
+    return list(parts.values()) if parts else [process.process.pid]
+
+
+def peak_memory(process):
+    return max(peak_resident_bytes(pid) for pid in processes(process))
+
+
+async def serve(address, seconds, rate=50):
+    """Has another client call at a rate on one connection; returns statuses, None for none in time."""
+    client, statuses, tasks, began = await Client.connect(address), [], [], time.monotonic()
+
+    async def call():
+        status = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(TIME_LIMIT + 0.5):
+                answered = client.call(VIEW)
+                await answered.done.wait()
+                status = answered.status
+        statuses.append(status)
+
+    while time.monotonic() - began < seconds:
+        tasks.append(asyncio.ensure_future(call()))
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*tasks)
+    client.close()
+    return statuses
+
+
+def share(statuses):
+    return statuses.count("0") / len(statuses)
+
+
+async def attacked(folder, attack, connections, cores):
+    """Returns the growth of memory, how long loops stood still, and what the other client got."""
+    registry, appliances, process = await world(folder, answer, answer, agent=f"cores = {cores}")
+    alone = await serve(process.address, 1.0)
+    idle = peak_memory(process)
+    plan = HostilePlan(attack, process.address, VIEW, connections, SECONDS, pause=0.0, http2=True)
+    _, served = await asyncio.gather(run_hostile_clients(plan), serve(process.address, SECONDS))
+    grown = peak_memory(process) - idle
+    stalled = sum(line["milliseconds"] for line in process.of("stalled")) / 1000
+    assert process.process.returncode is None and not process.of("internal_error")
+    await process.stop()
+    end(registry, appliances)
+    assert None not in served and share(served) >= share(alone) / 2
+    return grown, stalled
+
+
+@sockets
+@pytest.mark.parametrize("cores", [1, 2])
+@pytest.mark.parametrize("attack", HTTP2_CROWDS)
+async def test_a_crowd_of_incomplete_calls_drove_an_agent_over_its_memory(tmp_path, attack, cores):
+    grown, _ = await attacked(tmp_path, attack, CROWD, cores)
+    assert grown <= REQUEST_MEMORY + CONNECTION_MEMORY
+
+
+@sockets
+@pytest.mark.parametrize("cores", [1, 2])
+@pytest.mark.parametrize("attack", [each for each in HTTP2_FLOODS if each != Attack.UNREAD_ANSWERS])
+async def test_other_callers_waited_while_one_sent_frames_at_full_speed(tmp_path, attack, cores):
+    grown, stalled = await attacked(tmp_path, attack, 1, cores)
+    assert stalled <= MAX_STALLED_SHARE * SECONDS
+    assert grown <= REQUEST_MEMORY
+
+
+@sockets
+@pytest.mark.parametrize("cores", [1, 2])
+async def test_replies_that_a_client_never_read_piled_up_in_an_agent(tmp_path, cores):
+    grown, _ = await attacked(tmp_path, Attack.UNREAD_ANSWERS, 4, cores)
+    assert grown <= CONNECTION_MEMORY
