--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -14,6 +14,8 @@
 MAX_HEAD_BYTES = 16 * 1024  # including the first line
 MAX_HEADERS = 100
 MAX_BODY_BYTES = 64 * 1024
+SMALL_CHUNK_BYTES = 64  # of a chunked body
+MAX_SMALL_CHUNKS = 128  # of a request; parsing them takes far longer than sending them
 MAX_LENGTH_DIGITS = 9  # of a Content-Length header
 
 FIRST_FINAL_STATUS = 200  # lower ones (1xx) are interim responses
@@ -95,6 +97,7 @@
 
     parser_type: type = HttpRequestParser
     max_body_bytes: int | None = MAX_BODY_BYTES  # None: the caller limits what it keeps
+    max_small_chunks: int | None = None
 
     def __init__(self) -> None:
         self._parser = self.parser_type(self)
@@ -102,7 +105,8 @@
         # input.
         self._error: tuple[int, str] | None = None
         self.in_message = self._in_head = False
-        self._head_size = self._header_count = 0
+        self._chunk_start = 0
+        self._head_size = self._header_count = self._small_chunks = 0
 
     def close(self) -> None:
         """Breaks the reference cycle with the underlying parser; the garbage collector gets no work."""
@@ -112,7 +116,7 @@
     def on_message_begin(self) -> None:
         """Called by the underlying parser at the first byte of a message."""
         self.in_message = self._in_head = True
-        self._header_count = 0
+        self._header_count = self._small_chunks = 0
         self._headers: dict[bytes, bytes] = {}
         # joined as they arrive: a list of small pieces would take many times their size
         self._body = bytearray()
@@ -148,6 +152,18 @@
             self._reject(413, f"a body of over {self.max_body_bytes} bytes")
         self._body += piece
 
+    def on_chunk_header(self) -> None:
+        """Called by the underlying parser at the begin of a chunk, before its data."""
+        self._chunk_start = len(self._body)
+
+    def on_chunk_complete(self) -> None:
+        """Called by the underlying parser at the end of a chunk."""
+        if self.max_small_chunks is None or len(self._body) - self._chunk_start >= SMALL_CHUNK_BYTES:
+            return
+        self._small_chunks += 1
+        if self._small_chunks > self.max_small_chunks:
+            self._reject(400, f"more than {self.max_small_chunks} chunks below {SMALL_CHUNK_BYTES} bytes")
+
     def _reject(self, status: int, reason: str) -> None:
         self._error = status, reason
         raise HttpError(status, reason)
@@ -173,6 +189,8 @@
 class RequestParser(_MessageParser):
     """Parses the requests of one connection, on the server's side."""
 
+    max_small_chunks = MAX_SMALL_CHUNKS
+
     def __init__(self) -> None:
         super().__init__()
         self._complete: list[Request] = []
