Trailers and extensions of chunks without an end are refused after 16 KiB

Ten clients with a trailer that never ends drove a node to 216 MB within two seconds: the limit of a head was not asked for once the head was complete, and the parser below keeps the field.

--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -104,9 +104,10 @@
         # Status and reason of the first error. An exception would keep its frames alive, and with them the
         # input.
         self._error: tuple[int, str] | None = None
-        self.in_message = self._in_head = False
+        self.in_message = self._in_head = self._chunk_begun = False
         self._chunk_start = 0
-        self._head_size = self._header_count = self._small_chunks = 0
+        self._head_size = self._trailer_size = self._header_count = self._small_chunks = 0
+        self._body = bytearray()
 
     def close(self) -> None:
         """Breaks the reference cycle with the underlying parser; the garbage collector gets no work."""
@@ -116,7 +117,7 @@
     def on_message_begin(self) -> None:
         """Called by the underlying parser at the first byte of a message."""
         self.in_message = self._in_head = True
-        self._header_count = self._small_chunks = 0
+        self._trailer_size = self._header_count = self._small_chunks = 0
         self._headers: dict[bytes, bytes] = {}
         # joined as they arrive: a list of small pieces would take many times their size
         self._body = bytearray()
@@ -155,6 +156,7 @@
     def on_chunk_header(self) -> None:
         """Called by the underlying parser at the begin of a chunk, before its data."""
         self._chunk_start = len(self._body)
+        self._chunk_begun = True
 
     def on_chunk_complete(self) -> None:
         """Called by the underlying parser at the end of a chunk."""
@@ -172,6 +174,7 @@
         """Feeds the underlying parser; raises HttpError at the first error and at each call after it."""
         if self._error is not None:
             raise HttpError(*self._error)
+        body_before, self._chunk_begun = len(self._body), False
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
@@ -180,10 +183,19 @@
             self._error = self._error or (400, str(error) or type(error).__name__)
         if self._error is not None:
             raise HttpError(*self._error)
-        if self._in_head:  # limits a head that arrives in pieces without an end
+        if self._in_head:
             self._head_size += len(data)
-            if self._head_size > MAX_HEAD_BYTES:
-                self._reject(431, f"a head of over {MAX_HEAD_BYTES} bytes")
+            self._limit_fields("a head", self._head_size)
+        elif self._chunk_begun or len(self._body) != body_before:
+            self._trailer_size = 0
+        elif self.in_message:  # within trailers, or a chunk's extension
+            self._trailer_size += len(data)
+            self._limit_fields("trailers", self._trailer_size)
+
+    def _limit_fields(self, what: str, size: int) -> None:
+        """Rejects fields that arrive in pieces without an end, which the underlying parser would keep."""
+        if size > MAX_HEAD_BYTES:
+            self._reject(431, f"{what} of over {MAX_HEAD_BYTES} bytes")
 
 
 class RequestParser(_MessageParser):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -145,3 +145,20 @@
         assert len(parser.take(b"8000\r\n" + bytes(0x8000) + b"\r\n")) == 0x8000
     parser.take(b"0\r\n\r\n")
     assert parser.response is not None
+
+
+def test_a_watch_whose_chunks_arrive_in_pieces_is_not_taken_for_trailers_without_an_end():
+    parser = StreamedResponseParser()
+    parser.take(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(MAX_HEAD_BYTES):
+        assert parser.take(b"2") + parser.take(b"\r\n\r") + parser.take(b"\n\r\n") == b"\r\n"
+
+
+def test_trailers_without_an_end_are_refused_and_so_are_extensions_of_chunks():
+    for begin in (b"0\r\nA: ", b"5;"):
+        parser = RequestParser()
+        parser.feed(b"POST /order/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + begin)
+        with pytest.raises(HttpError) as error:
+            for _ in range(MAX_HEAD_BYTES // 1000 + 2):
+                parser.feed(b"x" * 1000)
+        assert error.value.status == 431
