--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -205,32 +205,38 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._complete: list[Request] = []
+        self._complete: Request | None = None
 
-    def feed(self, data: bytes) -> list[Request]:
-        """Returns the requests that these bytes complete.
+    def on_message_begin(self) -> None:
+        """Called by the underlying parser at the first byte of a request.
+
+        Input is parsed no further than to a second request: thousands fit in one read, and a connection
+        carries one at a time.
+        """
+        if self._complete is not None:
+            self._reject(400, "several requests at once on a connection")
+        super().on_message_begin()
+
+    def feed(self, data: bytes) -> Request | None:
+        """Returns the request that these bytes complete, if they do.
 
         Raises:
             HttpError: The input is not acceptable; every later call raises it again.
         """
         self._parse(data)
-        if not self._complete:
-            return []
-        complete, self._complete = self._complete, []
+        complete, self._complete = self._complete, None
         return complete
 
     def on_message_complete(self) -> None:
         """Called by the underlying parser at the end of a request."""
         self.in_message = False
         body, self._body = bytes(self._body), bytearray()
-        self._complete.append(
-            Request(
-                self._parser.get_method(),
-                bytes(self._target),
-                self._headers,
-                body,
-                self._parser.should_keep_alive(),
-            )
+        self._complete = Request(
+            self._parser.get_method(),
+            bytes(self._target),
+            self._headers,
+            body,
+            self._parser.should_keep_alive(),
         )
 
 
@@ -296,8 +302,14 @@
         self.in_message = False
         status = self._parser.get_status_code()
         if self.response is None and status >= FIRST_FINAL_STATUS:
-            body, self._body = bytes(self._body), bytearray()
-            self.response = Response(status, self._headers, body, self._parser.should_keep_alive())
+            self.response = Response(
+                status, self._headers, self._whole_body(), self._parser.should_keep_alive()
+            )
+
+    def _whole_body(self) -> bytes:
+        """Returns the body of the complete response, and keeps nothing of it."""
+        body, self._body = bytes(self._body), bytearray()
+        return body
 
 
 class StreamedResponseParser(ResponseParser):
@@ -314,8 +326,11 @@
         self._parse(data)
         if self.in_message and self._in_head:
             return b""
-        taken, self._body = self._body, bytearray()
-        return bytes(taken)
+        return super()._whole_body()
+
+    def _whole_body(self) -> bytes:
+        """Returns nothing: `take` has returned the body, or is about to."""
+        return b""
 
     @property
     def status(self) -> int:
