A read is parsed no further than to a second request, and the request is refused

Cause: all 3,600 requests of a read were parsed before the first was refused. RequestParser.feed returns one request; a second one in the same input raises.

--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -168,20 +168,20 @@
             return
         in_message_before = self.parser.in_message
         try:
-            requests = self.parser.feed(data)
+            request = self.parser.feed(data)
         except HttpError as error:
             self.refuse(error.status, error.reason)
             return
-        if not requests:  # an empty line after a body is no request
+        if request is None:  # an empty line after a body is no request
             self._on_partial_request(in_message_before)
             return
-        if self.call is not None or len(requests) > 1 or self.parser.in_message:
-            self.refuse(400, "several requests at once on a connection")
+        if self.call is not None:
+            self.refuse(400, "a second request before the first was answered")
             return
         self.front.idle.pop(self, None)
-        self.keep_alive, self.unanswered = requests[0].keep_alive, True
+        self.keep_alive, self.unanswered = request.keep_alive, True
         try:
-            self.front.handle_request(self, requests[0])
+            self.front.handle_request(self, request)
         except HttpError as error:
             self.refuse(error.status, error.reason)
         except Exception:  # an internal error, which the loop reports: the request is answered all the same
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -31,7 +31,7 @@
 def test_request_is_parsed_the_same_in_any_pieces(positions):
     parser, found = RequestParser(), []
     for piece in cut(REQUEST, positions):
-        found += parser.feed(piece)
+        found += filter(None, [parser.feed(piece)])
     (request,) = found
     assert (request.method, request.target, request.body) == (b"POST", b"/order/x?y=1", b"four")
     assert request.header(b"x-request-id") == b"a1" and request.keep_alive and not parser.in_message
@@ -73,7 +73,7 @@
 def test_invalid_request_is_rejected_with_its_status(data, status):
     parser = RequestParser()
     with pytest.raises(HttpError) as found:
-        assert parser.feed(data) == []
+        assert parser.feed(data) is None
     assert found.value.status == status
     with pytest.raises(HttpError):
         parser.feed(b"GET / HTTP/1.1\r\n\r\n")
@@ -162,3 +162,13 @@
             for _ in range(MAX_HEAD_BYTES // 1000 + 2):
                 parser.feed(b"x" * 1000)
         assert error.value.status == 431
+
+
+def test_a_thousand_requests_in_one_read_are_parsed_no_further_than_to_the_second():
+    parser = RequestParser()
+    begun = []
+    begin = RequestParser.on_message_begin
+    parser.on_message_begin = lambda: begun.append(begin(parser))
+    with pytest.raises(HttpError) as error:
+        parser.feed(b"GET /a HTTP/1.1\r\n\r\n" * 1000)
+    assert error.value.status == 400 and len(begun) <= 2
