--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -18,7 +18,7 @@
 from ..hosting.tcp import NonBlockingSocket, PendingConnection
 from ..interface import Appliance, Dispatch
 from . import http1, protocol
-from .front import ClientCall
+from .client_connection import ClientCall
 from .http1 import HttpError, Response, ResponseParser
 from .idle_limit import IdleLimit
 
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -20,9 +20,10 @@
 from ..hosting.process_resources import ResidentMemory, open_descriptors
 from ..interface import Appliance, Dispatch
 from .appliance_pools import ApplianceOptions, AppliancePools, Attempt
+from .client_connection import ClientCall
 from .config import Config, ConfigError, read
 from .discovery import DiscoveryClient
-from .front import ClientCall, Front
+from .front import Front
 from .peers import Peers
 from .release_service import ReleaseServiceClient
 
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -1,7 +1,6 @@
-"""The clients' side of the node: connections, the check of each request, and its one response.
+"""The clients' side of the node: the listener, all connections, and the check of each request.
 
-Clients are not trusted. A request that cannot be understood gets a status of its own (never 429 or 503, which
-make a promise) and loses its connection; silent connections are closed first when descriptors run short.
+Silent connections are closed first when descriptors run short.
 """
 
 from __future__ import annotations
@@ -12,18 +11,16 @@
 import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
-from enum import StrEnum
-from typing import Any
 
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
 from ..hosting.log_limiter import LogLimiter
 from ..hosting.receive_queue import queued_data
-from ..hosting.tcp import NonBlockingSocket, split_address
-from ..interface import FINGERPRINTED, IDEMPOTENT, Invocation, Operation
-from ..logic.dispatch_guard import Invariant
-from . import http1, protocol
-from .http1 import HttpError, Request, RequestParser
+from ..hosting.tcp import split_address
+from ..interface import FINGERPRINTED, IDEMPOTENT, Operation
+from . import protocol
+from .client_connection import NOT_YET, ClientCall, ClientConnection, CloseReason
+from .http1 import HttpError, Request
 
 # Times in microseconds.
 MS = 1000
@@ -43,9 +40,6 @@
 MAX_DRAIN_TIME = 3_000 * MS  # draining takes the longest time limit, at most this long, ...
 DRAIN_MARGIN = 600 * MS  # ... and so much more
 
-NOT_YET = 1 << 62  # later than any time
-
-MAX_LINGER_BYTES = 256 * 1024  # read and discarded from a client whose connection ends
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted
 ACCEPTS_PER_TURN = 32
 # errors of accept
@@ -57,216 +51,6 @@
 EventLogger = Callable[..., None]
 
 
-class CloseReason(StrEnum):
-    """Why a client's connection was closed; the names that the log counts them by."""
-
-    CLIENT_GONE = "client_gone"  # the client has closed it, or it broke
-    UNWRITABLE = "unwritable"  # its response could not be written, because it has ended
-    EVICTED = "evicted"  # to make room
-    NO_REQUEST = "no_request"  # the client sent nothing for too long
-    NOT_READ = "not_read"  # the client took nothing of its response for too long
-    TOO_MUCH_SENT = "too_much_sent"  # the client went on sending after its last response
-    RESPONDED = "responded"  # its last response was written, and the client had the time to read it
-    DRAINING = "draining"  # this process ends, and the connection carried nothing
-    STOPPED = "stopped"  # this process has ended
-
-
-# reasons for which a request that was read may stay without a response
-_NOBODY_TO_ANSWER = frozenset((CloseReason.CLIENT_GONE, CloseReason.UNWRITABLE))
-
-
-class ClientCall:
-    """One request until its response: the client's side of an invocation."""
-
-    __slots__ = ("body", "client", "head", "id", "invocation")
-
-    def __init__(
-        self, client: ClientConnection, request_id: bytes, head: list[tuple[bytes, bytes]], request: Request
-    ) -> None:
-        self.client: ClientConnection | None = client
-        self.id, self.body = request_id, request.body
-        self.head = (request.method, request.target, head)  # passed on unchanged
-        self.invocation: Invocation | None = None
-
-    def succeed(self, head: Any, body: list[bytes], tail: Any) -> None:
-        """Responds with an appliance's body."""
-        self._respond(200, b"".join(body))
-
-    def throttle(self, retry_after: int) -> None:
-        """Responds that nothing ran; retry_after: microseconds after which to retry, 0 for none."""
-        headers = ((b"Retry-After", b"%.3f" % (retry_after / 1e6)),) if retry_after else ()
-        self._respond(429, headers=headers)
-
-    def terminate(self) -> None:
-        """Responds without any promise."""
-        self._respond(500)
-
-    def client_left(self) -> bool:
-        """Whether the client has left, even if the loop has not had the time to report it."""
-        return self.client is None or self.client.socket.at_end()
-
-    def close_client(self) -> None:
-        """Closes the connection of a client that has left."""
-        if self.client is not None:
-            self.client.close(CloseReason.CLIENT_GONE)
-
-    def _respond(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
-        client, self.client = self.client, None
-        if client is not None:
-            client.front.calls.pop(self.id, None)
-            client.call = None
-            client.respond(status, body, headers)
-
-
-class ClientConnection:
-    """One connection of a client.
-
-    Attributes:
-        call: The request that waits for its response.
-        arrived_at: When its first request may have arrived, if it waited to be accepted; else `NOT_YET`.
-        last_active: When it connected, began a request, was answered, or last took a part of its response.
-        served: Whether it has had a response.
-        unanswered: A complete request has arrived, and no response was written yet.
-        closing: Its last response is written; only the client's reading of it is awaited.
-        keep_alive: Whether the client allows another request on it.
-        discarded: Bytes that arrived while it was closing.
-        unsent_before: Bytes of its response that the kernel had not taken at the last sweep.
-    """
-
-    __slots__ = (
-        "arrived_at",
-        "call",
-        "closing",
-        "discarded",
-        "front",
-        "keep_alive",
-        "last_active",
-        "parser",
-        "served",
-        "socket",
-        "unanswered",
-        "unsent_before",
-    )
-
-    def __init__(self, front: Front, sock: socket.socket) -> None:
-        self.front, self.parser = front, RequestParser(protocol.REQUEST_HEADERS)
-        self.call: ClientCall | None = None
-        self.last_active = front.clock.now()
-        self.arrived_at = NOT_YET
-        self.served = self.unanswered = False
-        self.closing = False
-        self.keep_alive, self.discarded, self.unsent_before = True, 0, 0
-        self.socket = NonBlockingSocket(front.loop, sock, self)
-
-    # ---- input ----
-    def on_data(self, data: bytes) -> None:
-        """Handles input; a connection carries one request at a time."""
-        if self.closing:
-            self.discarded += len(data)
-            if self.discarded > MAX_LINGER_BYTES:
-                self.close(CloseReason.TOO_MUCH_SENT)
-            return
-        in_message_before = self.parser.in_message
-        try:
-            request = self.parser.feed(data)
-        except HttpError as error:
-            self.refuse(error.status, error.reason)
-            return
-        if request is None:  # an empty line after a body is no request
-            self._on_partial_request(in_message_before)
-            return
-        if self.call is not None:
-            self.refuse(400, "a second request before the first was answered")
-            return
-        self.front.idle.pop(self, None)
-        self.keep_alive, self.unanswered = request.keep_alive, True
-        try:
-            self.front.handle_request(self, request)
-        except HttpError as error:
-            self.refuse(error.status, error.reason)
-        except Exception:  # an internal error, which the loop reports: the request is answered all the same
-            if self.unanswered and self.call is None:
-                self.refuse(500, "an error of the agent")
-            elif self.call is not None:  # the error concerned another request; this one was accepted
-                self.call.invocation = next(
-                    (
-                        invocation
-                        for invocation, call in self.front.engine_host.calls.items()
-                        if call is self.call
-                    ),
-                    None,
-                )
-            raise
-
-    def _on_partial_request(self, in_message_before: bool) -> None:
-        if self.parser.in_message and self.call is not None:
-            self.refuse(400, "a second request before the first was answered")
-        elif self.parser.in_message and self.served and not in_message_before:
-            self.last_active = self.front.clock.now()
-
-    def on_lost(self, why: str) -> None:
-        """The client's end of the connection is closed, or it broke."""
-        self.close(CloseReason.CLIENT_GONE)
-
-    def on_sent(self) -> None:
-        """The kernel has taken the whole response; idle and linger times begin only now, for slow readers."""
-        self.last_active, self.unsent_before = self.front.clock.now(), 0
-        if self.closing:
-            self.socket.shutdown_write()
-
-    # ---- output ----
-    def refuse(self, status: int, reason: str) -> None:
-        """Responds with an error of the front itself, and ends the connection."""
-        self.front.record_refusal(self, status, reason)
-        self.abandon_call()
-        self.keep_alive = False
-        self.respond(status, reason.encode("latin-1", "replace") + b"\n")
-
-    def respond(self, status: int, body: bytes, headers: Any = ()) -> None:
-        """Writes a response; ends the connection unless it may carry another request."""
-        if self.socket.closed:
-            return
-        front = self.front
-        keep_alive = self.keep_alive and not front.draining
-        self.last_active, self.served, self.unanswered = front.clock.now(), True, False
-        try:
-            self.socket.write(http1.encode_response(status, body, headers, keep_alive))
-        except OSError:
-            self.close(CloseReason.UNWRITABLE)
-            return
-        if not keep_alive:
-            self.closing = True
-            if not self.socket.unsent:
-                self.socket.shutdown_write()
-        front.idle[self] = None
-
-    def abandon_call(self) -> None:
-        """Drops the open request; its response is no longer wanted."""
-        call, self.call = self.call, None
-        if call is not None:
-            call.client = None
-            self.front.calls.pop(call.id, None)
-            if call.invocation is not None:
-                self.front.engine_host.client_left(call.invocation)
-
-    def close(self, reason: CloseReason) -> None:
-        """Closes the connection at once."""
-        if not self.socket.closed:
-            self.front.closed[reason] += 1
-            if self.unanswered and reason not in _NOBODY_TO_ANSWER:
-                self.front.engine_host.guard.report(
-                    Invariant.CLOSED_UNANSWERED,
-                    request=self.call.id.decode("latin-1") if self.call else "",
-                    reason=str(reason),
-                )
-            self.socket.close()
-            self.parser.close()
-            self.front.idle.pop(self, None)
-            self.front.clients.discard(self)
-            self.front.set_accepting(True)
-            self.abandon_call()
-
-
 class Front:
     """Listens for clients and serves them.
 
--- a/tests/test_dispatch_guard.py
+++ b/tests/test_dispatch_guard.py
@@ -9,7 +9,7 @@
 
 from cartweir.hosting.appliance_list import ListEntry
 from cartweir.logic.dispatch_guard import Invariant
-from cartweir.node.front import CloseReason
+from cartweir.node.client_connection import CloseReason
 
 
 @sockets
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -30,7 +30,7 @@
 
 from cartweir import interface as ours
 from cartweir.hosting import tcp
-from cartweir.node import appliance_pools, config, front
+from cartweir.node import appliance_pools, client_connection, config, front
 
 LARGE = bytes(60_000)
 
@@ -111,7 +111,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             super().__init__(loop, sock, owner)
 
-    monkeypatch.setattr(front, "NonBlockingSocket", SmallBufferSocket)
+    monkeypatch.setattr(client_connection, "NonBlockingSocket", SmallBufferSocket)
 
 
 # ---- slow readers ----
