A request that comes before the answer to the last was taken is refused

Eight clients that asked again and again for answers of 60 KB and read none had all other clients refused: 0 of their requests were served (429), for as long as they went on; before the limit on memory, answers piled up in the node without end. Cause: a connection was read on while its answer was still unsent, and each further answer counted as progress, so the connection was never closed as not read. Open: at 32 MB, 26 and more clients with an unread answer of 60 KB each still have others refused until they are closed, 0.5 s after the longest time limit.

--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -188,7 +188,7 @@
         if request is None:  # an empty line after a body is no request
             self._on_partial_request(in_message_before)
             return
-        if self.call is not None:
+        if self.call is not None or self.socket.unsent:
             self.refuse(400, "a second request before the first was answered")
             return
         self.front.idle.pop(self, None)
@@ -214,7 +214,7 @@
     def _on_partial_request(self, in_message_before: bool) -> None:
         if not self.parser.in_message:
             return
-        if self.call is not None:
+        if self.call is not None or self.socket.unsent:
             self.refuse(400, "a second request before the first was answered")
             return
         if self.served and not in_message_before:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 from node_harness import Appliance, ok_response
@@ -15,6 +17,8 @@
 CROWD = 400
 CROWD_SECONDS = 3.0
 FLOOD_SECONDS = 3.0
+UNREAD_SECONDS = 6.0
+ANSWER_SECONDS = 0.04  # in which a node answers
 MAX_STALLED_SHARE = 0.1  # of the time of a flood
 
 
@@ -112,20 +116,41 @@
 
 
 @sockets
-async def test_answers_that_a_client_never_read_piled_up_in_a_node(tmp_path):
-    """It asks for answers of 60 KB one after the other on each connection, and reads none."""
+async def test_answers_that_clients_never_read_piled_up_and_the_others_were_refused(tmp_path):
+    """They ask for answers of 60 KB one after the other on each connection, and read none."""
     large = ok_response(bytes(60_000))
-    appliances = [Appliance(lambda line, headers, body: large) for _ in range(2)]
+    appliances = [Appliance(lambda line, headers, body: large) for _ in range(4)]
     async with node_process(tmp_path, *appliances, memory_mb=LEAST_MEMORY_MB) as node:
-        clients = [await node.client() for _ in range(20)]
-        for number in range(150):
-            for place, client in enumerate(clients):
-                client.writer.write(
-                    f"GET /view/x HTTP/1.1\r\nHost: a\r\nX-Request-ID: deaf-{place}-{number}\r\n"
-                    "X-Priority-Class: view\r\nX-Timeout: 500m\r\n\r\n".encode()
-                )
-            await asyncio.sleep(0.01)
+        alone = await node.serve(1.0)
+        clients = [connect_without_reading(node.address) for _ in range(8)]
+        asking = asyncio.ensure_future(ask_without_reading(clients))
+        await asyncio.wait((asking,), timeout=UNREAD_SECONDS / 2)  # until the kernel takes no more
+        served = await node.serve(UNREAD_SECONDS / 2)
+        await asking
+        answered = sum(len(appliance.requests) for appliance in appliances)
+        assert answered >= 20 * len(clients)
         assert node.process.returncode is None
         assert node.peak_memory <= LEAST_MEMORY_MB * MEGABYTE
+        assert served.unanswered == 0 and served.share >= alone.share / 2
         for client in clients:
-            client.writer.transport.abort()
+            client.close()
+
+
+async def ask_without_reading(clients):
+    for number in range(int(UNREAD_SECONDS / ANSWER_SECONDS)):
+        for place, client in enumerate(clients):
+            with contextlib.suppress(OSError):  # the node has closed it
+                client.send(
+                    f"GET /view/x HTTP/1.1\r\nHost: a\r\nX-Request-ID: deaf-{place}-{number}\r\n"
+                    "X-Priority-Class: view\r\nX-Timeout: 500m\r\n\r\n".encode()
+                )
+        await asyncio.sleep(ANSWER_SECONDS)
+
+
+def connect_without_reading(address):
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    host, port = address.split(":")
+    client.connect((host, int(port)))
+    client.setblocking(False)
+    return client
