An id that may have run is not run again as it comes anew

A side-effecting request ran twice: its client left while the attempt was out, and the id, come again on another connection, was a new request, as ids were forgotten with their clients. logic/executed_requests.py keeps the ids of what may have run and is not idempotent for 30 to 60 s, 8,192 at most (under a megabyte); such a request is answered 409, no promise.

--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -76,6 +76,9 @@
     def record_refusal(self, client: ClientConnection, status: int, reason: str) -> None:
         """Counts a refused request."""
 
+    def record_executed(self, call: ClientCall) -> None:
+        """Remembers the id of a request that may have run, and needs no answer any more."""
+
     def set_accepting(self, accepting: bool) -> None:
         """Watches the listener for new connections, or stops watching it."""
 
@@ -102,6 +105,7 @@
     def succeed(self, head: Any, body: list[bytes], tail: Any) -> None:
         """Responds with an appliance's body."""
         whole = b"".join(body)
+        self._record_executed()
         if self.client is not None:
             self.client.front.memory.record_response(len(whole))
         self._respond(200, whole)
@@ -112,6 +116,7 @@
 
     def terminate(self) -> None:
         """Responds without any promise."""
+        self._record_executed()
         self._respond(500)
 
     def client_left(self) -> bool:
@@ -123,6 +128,10 @@
         if self.client is not None:
             self.client.close(CloseReason.CLIENT_GONE)
 
+    def _record_executed(self) -> None:
+        if self.client is not None:
+            self.client.front.record_executed(self)
+
     def _respond(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
         client, self.client = self.client, None
         if client is not None:
@@ -267,6 +276,7 @@
         if call is not None:
             call.client = None
             self.front.calls.pop(call.id, None)
+            self.front.record_executed(call)
             if call.invocation is not None:
                 self.front.engine_host.client_left(call.invocation)
 
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -18,6 +18,7 @@
 from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import split_address
 from ..interface import Operation
+from ..logic.executed_requests import ExecutedRequests
 from ..logic.request_memory import RequestMemory
 from . import protocol
 from .client_connection import NOT_YET, ClientCall, ClientConnection, CloseReason, retry_headers
@@ -98,6 +99,7 @@
         self.clients: set[ClientConnection] = set()
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self.calls: dict[bytes, ClientCall] = {}
+        self._executed = ExecutedRequests(clock.now())
         self.draining = False
         self.refused: Counter[int] = Counter()
         self.evicted = 0
@@ -245,6 +247,10 @@
         ) and client.socket.nothing_to_read():
             client.close(CloseReason.DRAINING if client.served else CloseReason.NO_REQUEST)
 
+    def record_executed(self, call: ClientCall) -> None:
+        """Remembers the id of a request that may have run, and needs no answer any more."""
+        self._executed.record(call.id, call.invocation, self.clock.now())
+
     def free_memory(self) -> bool:
         """Has incomplete requests give way until the limit is kept; returns whether it is."""
         while self.memory.is_exceeded():
@@ -288,6 +294,8 @@
         checked = check_request(request, path, self.operations)
         if checked.id in self.calls:
             raise HttpError(409, "a request with this id is open")
+        if self._executed.contains(checked.id, self.clock.now()):
+            raise HttpError(409, "a request with this id may have run")
         self.memory.charge_open(client, len(request.body))
         if self.free_memory():
             self._take(client, checked, arrived)
