A call that is reset within the same input is not begun

One client that opened and reset calls at full speed had each of them dispatched and cancelled at an appliance. The session now looks for resets in a piece of input before it begins its requests; test_a_call_that_was_reset_within_the_same_input_was_begun failed before.

--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -293,13 +293,14 @@
             self.on_output()
 
     def receive(self, data: bytes) -> None:
-        """Handles input."""
+        """Handles input; a request that is reset within the same input is not begun."""
         if self.failure:
             return
         found, error = self._h2.receive(data)
+        reset_ids = {event.stream_id for event in found if type(event) is events.StreamReset}
         for event in found:
             handle = _HANDLERS.get(type(event))
-            if handle is not None:
+            if handle is not None and not (handle is Session._on_request and event.stream_id in reset_ids):
                 handle(self, event)
         if error is not None:
             self.fail(error)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -29,7 +29,7 @@
     TrailersReceived,
     WindowUpdated,
 )
-from h2.exceptions import ProtocolError
+from h2.exceptions import ProtocolError, StreamClosedError
 from h2.settings import SettingCodes
 
 from cartweir.agent.daemon import Daemon
@@ -204,7 +204,10 @@
             self.resets.append((event.stream_id, int(event.error_code)))
             self.reset.set()
         elif isinstance(event, StreamEnded):
-            done = self.act(self, peer, event.stream_id, len(self.requests) - 1)
+            try:
+                done = self.act(self, peer, event.stream_id, len(self.requests) - 1)
+            except StreamClosedError:  # the agent has reset it within the same input
+                return
             if asyncio.iscoroutine(done):
                 self.tasks.append(asyncio.ensure_future(done))
             self.asked.set()
--- a/tests/test_wire_grpc.py
+++ b/tests/test_wire_grpc.py
@@ -188,3 +188,15 @@
     client.session.receive(server.session.take_output(1 << 20) + b"\0\0\x04\x08\0\0\0\0\0\0\0\0\0")
     assert client.take() == [("end", one.id, 2), ("aborted", two.id, CONNECTION_LOST)]
     assert "FlowControl" in client.session.failure or "Protocol" in client.session.failure
+
+
+def test_a_call_that_was_reset_within_the_same_input_was_begun():
+    client, server = pair()
+    left, kept = (
+        client.session.open(HEADERS, client, end=True),
+        client.session.open(HEADERS, client, end=True),
+    )
+    left.reset()
+    exchange(client, server)
+    assert server.take() == [("stream", kept.id), ("end", kept.id, 0)]
+    assert list(server.session.streams) == [kept.id]
