A connection whose replies are not read is read no further

Replies to PING and SETTINGS, and answers to refused calls, were written without a limit while the other side read nothing: 2.0 MB of 2 MB of pings lay in the process, and would go on. Input now waits once 64 KiB more than the limit on data are unsent. test_replies_to_pings_piled_up_while_their_client_read_nothing fails without it (1,975,723 bytes where 393,216 may be) and passes.

--- a/cartweir/wire/connection.py
+++ b/cartweir/wire/connection.py
@@ -16,6 +16,7 @@
 from .session import Session, SessionLimits, Stream, StreamListener
 
 MAX_UNSENT_BYTES = 256 * 1024  # handed to the socket and not yet taken; more stays in the streams' queues
+MAX_UNREAD_REPLIES = 64 * 1024  # bytes beyond: replies to frames that the other side sends and does not read
 
 
 class Tap(Protocol):
@@ -82,6 +83,7 @@
         self.session.on_output = self._schedule_flush
         self._flush_scheduled = self._closed = False
         self._unsent = 0
+        self._written = asyncio.Event()
         self.bytes_processed = 0
         self.input_since = monotonic()
         self._pacer = InputPacer()
@@ -126,14 +128,26 @@
 
     async def _process(self, data: bytes) -> None:
         """Handles input: the first slice at once, further ones in turn with other connections."""
-        position = self._process_slice(data, 0)
+        await self._until_replies_are_read()
+        position = 0 if self._has_ended() else self._process_slice(data, 0)
         while position < len(data):
+            await self._until_replies_are_read()
             async with backlog_turn():
-                if self._closed or self.session.failure:
+                if self._has_ended():
                     return
                 position = self._process_slice(data, position)
                 await asyncio.sleep(0)
 
+    def _has_ended(self) -> bool:
+        """Returns whether input is of no more use."""
+        return self._closed or self.session.failure is not None
+
+    async def _until_replies_are_read(self) -> None:
+        """Waits while the other side reads too little of what it is sent: its next input would add to it."""
+        while self._unsent > MAX_UNSENT_BYTES + MAX_UNREAD_REPLIES and not self._closed:
+            self._written = asyncio.Event()
+            await self._written.wait()
+
     def _process_slice(self, data: bytes, position: int) -> int:
         """Handles the slice that begins at a position; returns where it ends."""
         piece = data[position : position + self._pacer.slice_bytes]
@@ -179,6 +193,7 @@
 
     def _on_written(self, size: int, done: asyncio.Future) -> None:
         self._unsent -= size
+        self._written.set()
         if not done.cancelled() and done.exception() is None and self.session.output_pending:
             self._schedule_flush()
 
@@ -204,6 +219,7 @@
         self.flush()
         self._closed = True
         self.resume()
+        self._written.set()
         if self._tap:
             self._tap.closed(self._tap_number, why)
         self._stream.close()
--- a/tests/test_grpc_memory_limit.py
+++ b/tests/test_grpc_memory_limit.py
@@ -4,16 +4,20 @@
 
 import asyncio
 import contextlib
+import itertools
+import socket
 import time
 
 import pytest
 from node_process import run_hostile_clients
-from peers import VIEW, Client, answer
+from peers import READ_SIZE, VIEW, Client, answer, rig
 from test_calls import sockets
 from test_processes import end, world
 
 from cartweir.hosting.process_resources import peak_resident_bytes
+from cartweir.soak import hostile_http2
 from cartweir.soak.hostile_plan import HTTP2_CROWDS, HTTP2_FLOODS, Attack, HostilePlan
+from cartweir.wire.connection import MAX_UNREAD_REPLIES, MAX_UNSENT_BYTES
 
 REQUEST_MEMORY = 32 << 20  # bytes, the default of [wire] request_memory
 CONNECTION_MEMORY = 16 << 20  # bytes for 20 connections with 100 streams each, besides their requests
@@ -91,6 +95,28 @@
     assert grown <= REQUEST_MEMORY
 
 
+@sockets
+async def test_replies_to_pings_piled_up_while_their_client_read_nothing(tmp_path):
+    async with rig(tmp_path, answer) as it:
+        for listening in it.daemon.front._sockets:  # connections inherit it: the kernel takes few replies
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        pings = hostile_http2.pieces(HostilePlan(Attack.PINGS, it.address, VIEW, 1, SECONDS), 1)
+        host, port = it.address.split(":")
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect((host, int(port)))
+        client.setblocking(False)
+        sent = b"".join(itertools.islice(pings, 40))
+        sending = asyncio.ensure_future(asyncio.get_running_loop().sock_sendall(client, sent))
+        unsent = 0
+        for _ in range(300):
+            unsent = max(unsent, it.daemon.front.unsent)
+            await asyncio.sleep(0.01)
+        sending.cancel()
+        assert 0 < unsent <= MAX_UNSENT_BYTES + MAX_UNREAD_REPLIES + READ_SIZE
+        client.close()
+
+
 @sockets
 @pytest.mark.parametrize("cores", [1, 2])
 async def test_replies_that_a_client_never_read_piled_up_in_an_agent(tmp_path, cores):
