The gRPC agent keeps what the requests of all clients hold within [wire] request_memory

20 connections of 100 calls each that stopped half way through messages of 200 KB drove an agent 76 MB up, with 700 short headers each 54 to 234 MB: only a message, the streams of a connection and the connections were limited, 8 TB together. Headers and bodies are now charged to logic/request_memory.py; incomplete calls give way, the largest first, whole ones are throttled, both with the advice when to retry. New key [wire] request_memory (32 MiB, two messages at least; divided among the parts of several cores). Small pieces of a body are joined.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -113,7 +113,12 @@
 def front_limits(document: AgentDocument) -> FrontLimits:
     """Returns the limits of the server that clients call."""
     wire = document.wire
-    return FrontLimits(wire.connections, wire.streams, wire.window, wire.message, wire.header_list)
+    return FrontLimits(
+        wire.connections,
+        wire.message,
+        wire.request_memory,
+        SessionLimits(wire.streams, wire.window, wire.header_list),
+    )
 
 
 class ControlPlaneClients(NamedTuple):
--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from h2.errors import ErrorCodes
 from tornado.ioloop import IOLoop
@@ -18,6 +19,8 @@
 from ..hosting.receive_queue import QueuedData, queued_data
 from ..hosting.tcp import ReadOnReadyStream, split_address
 from ..interface import Invocation, Operation
+from ..logic.overload import retry_advice
+from ..logic.request_memory import RequestMemory
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
 from ..wire.grpc import Headers, MalformedError, MessageScanner, Status
@@ -28,22 +31,35 @@
 ACCEPTS_PER_TURN = 64  # so that established connections get their share of each turn of the event loop
 READ_BUFFER_BYTES = 256 * 1024
 PREFIX_BYTES = 5  # of a gRPC message: its compression flag and length
+FIELD_BYTES = 160  # that a header takes besides its name and value
+MIN_PIECE_BYTES = 1024  # of a body; smaller pieces are joined, since each takes memory of its own
+SURE_MESSAGES = 2  # of the largest size, that always fit
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+@dataclass(frozen=True, slots=True)
 class FrontLimits:
     """The limits of the server.
 
     Attributes:
         connections: The most connections at a time.
         message: The largest message of a request, in bytes.
+        request_memory: Bytes that all requests may hold, of which two of the largest messages are sure.
         session: The limits of each HTTP/2 session.
     """
 
-    def __init__(self, connections: int, streams: int, window: int, message: int, header_list: int) -> None:
-        self.connections = connections
-        self.message = message
-        self.session = SessionLimits(streams, window, header_list)
+    connections: int
+    message: int
+    request_memory: int
+    session: SessionLimits
+
+    def part(self, count: int) -> FrontLimits:
+        """Returns the limits of each of so many servers that share these."""
+        return replace(
+            self,
+            connections=math.ceil(self.connections / count),
+            request_memory=self.request_memory // count,
+        )
 
 
 @dataclass(eq=False)
@@ -61,6 +77,7 @@
         tap: Records what passes on the connections.
         connections: The open connections.
         draining: Whether new calls are refused.
+        memory: The bytes that requests hold.
     """
 
     engine_host: EngineHost
@@ -74,6 +91,7 @@
     def __post_init__(self) -> None:
         self.connections: set[Connection] = set()
         self.draining = False
+        self.memory = RequestMemory(max(self.limits.request_memory, SURE_MESSAGES * self.limits.message))
         self._sockets: list[socket.socket] = []
         self._accepts_per_turn = ACCEPTS_PER_TURN
         self._accept_delay: Callable[[int], int] | None = None
@@ -221,6 +239,16 @@
                 suppressed=self._refusals_logged.take_suppressed(),
             )
 
+    def free_memory(self) -> bool:
+        """Has incomplete calls give way until the limit is kept; returns whether it is."""
+        while self.memory.is_exceeded():
+            call = self.memory.give_way()
+            if call is None:
+                return False
+            self.log_refusal(call, Status.RESOURCE_EXHAUSTED, "no memory for a request of this size now")
+            call.throttle(retry_advice(self.engine_host.settings))
+        return True
+
     # ---- answers that are being sent ----
     def expect_end(self, call: ClientCall) -> None:
         """Watches an answer that has been given but not sent completely.
@@ -313,6 +341,7 @@
     __slots__ = (
         "_answered",
         "_granted",
+        "_size",
         "arrived",
         "body",
         "front",
@@ -334,6 +363,7 @@
             0  # bytes on their way to the client that have been acknowledged to the source already
         )
         self._answered = False
+        self._size = sum(len(name) + len(value) + FIELD_BYTES for name, value in headers)
         self.request: grpc_mapping.RequestHeaders | None = None
         try:
             self.request = grpc_mapping.read_request(headers)
@@ -349,6 +379,9 @@
             self.refuse(
                 Status.UNIMPLEMENTED, f"no operation has the method {self.request.path.decode('latin-1')}"
             )
+        else:
+            front.memory.charge(self, self._size, incomplete=True)
+            front.free_memory()
 
     # ---- the request ----
     def on_headers(self, stream: Stream, headers: Headers) -> None:
@@ -366,7 +399,13 @@
                 Status.RESOURCE_EXHAUSTED if "the most" in str(error) else Status.INTERNAL, str(error)
             )
             return
-        self.body.append(data)
+        if self.body and len(self.body[-1]) < MIN_PIECE_BYTES:
+            self.body[-1] += data
+        else:
+            self.body.append(data)
+        self._size += len(data)
+        self.front.memory.charge(self, self._size, incomplete=True)
+        self.front.free_memory()
 
     def on_end(self, stream: Stream, trailers: Headers) -> None:
         """Makes an invocation of the call, now that it is complete, or hands its message to a handler."""
@@ -380,19 +419,24 @@
             )
             return
         request, front = self.request, self.front
+        front.memory.charge(self, self._size)
         if (handle := front.handlers.get(request.path)) is not None:
             try:
                 handle(b"".join(self.body)[PREFIX_BYTES:])
             except MalformedError as error:
                 self.refuse(Status.INVALID_ARGUMENT, str(error))
                 return
-            self._answered = True
+            self._finish()
             stream.send_headers(grpc.response_headers())
             stream.send_data(grpc.frame(b""))
             stream.send_trailers(grpc.trailers(0))
             return
         if front.draining:
             stream.reset(ErrorCodes.REFUSED_STREAM)
+            self._finish()
+            return
+        if not front.free_memory():
+            self.throttle(retry_advice(front.engine_host.settings))
             return
         operation = front.operations[request.path]
         limit = operation.time_limit if request.timeout is None else request.timeout
@@ -410,6 +454,7 @@
 
     def on_aborted(self, stream: Stream, how: str, code: int) -> None:
         """Ends the invocation, because the client has reset the call or disconnected."""
+        self.front.memory.release(self)
         if self.invocation is not None and not self._answered:
             self._answered = True
             self.front.engine_host.client_left(self.invocation)
@@ -425,8 +470,7 @@
     def refuse(self, status: int, text: str) -> None:
         """Answers that the call is not accepted."""
         self.front.log_refusal(self, status, text)
-        self._answered = True
-        self.body = []
+        self._finish()
         self.stream.send_headers(grpc_mapping.refused(status, text), end=True)
         if not self.stream.end_received:
             self.stream.reset(ErrorCodes.NO_ERROR)  # the client need not send the rest of the request
@@ -452,7 +496,7 @@
 
     def succeed(self, head: Headers, body: list[bytes], tail: Headers) -> None:
         """Passes an appliance's answer on to its end."""
-        self._answered, self.body = True, []
+        self._finish()
         if self.source is not None:
             self.stream.send_trailers(_passed(tail))
         elif head:
@@ -466,18 +510,25 @@
 
     def throttle(self, retry_after: int) -> None:
         """Answers that trying again is harmless; the advised delay is in microseconds."""
-        self._answered, self.body = True, []
+        self._finish()
         self.stream.send_headers(grpc_mapping.throttled(retry_after), end=True)
+        if not self.stream.end_received:
+            self.stream.reset(ErrorCodes.NO_ERROR)  # the client need not send the rest of the request
 
     def terminate(self) -> None:
         """Answers without any promise about the effect."""
-        self._answered, self.body = True, []
+        self._finish()
         if self.source is None:
             self.stream.send_headers(grpc_mapping.terminated(), end=True)
         else:
             self.stream.send_trailers(grpc_mapping.terminated(begun=True))
             self._expect_end()
 
+    def _finish(self) -> None:
+        """Holds nothing of the request any more, as it has its answer."""
+        self._answered, self.body = True, []
+        self.front.memory.release(self)
+
     def _expect_end(self) -> None:
         """Has the answer dropped if the client does not read it in time, which frees its memory."""
         if not self.stream.end_sent and not self.stream.closed:
--- a/cartweir/cores/process.py
+++ b/cartweir/cores/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import json
-import math
 import os
 import signal
 import socket
@@ -160,8 +159,7 @@
             self.log_event,
             itertools.count(first_id),
         )
-        bounds = front_limits(document)
-        bounds.connections = math.ceil(bounds.connections / agent.cores)
+        bounds = front_limits(document).part(agent.cores)
         self.front = Front(
             self.dispatcher,
             operations_by_path(document, self.dispatcher.operations),
--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -44,11 +44,11 @@
 from .exposure import make_budgets, within_limits
 from .health import MAX_UNANSWERED, eject, record_answer, record_outcome
 from .list_lease import ListLease
-from .overload import adjust_concurrency_limit, raise_limit_to_fleet
+from .overload import adjust_concurrency_limit, raise_limit_to_fleet, retry_advice
 from .selection import CHOICES, MOST_AVOIDED, load_score, preferred, to_probe
 from .slow_start import SlowStart, warmth
 from .subscription import ListSubscription
-from .timing import MILLISECOND, SECOND, STALL_TIME
+from .timing import MILLISECOND, STALL_TIME
 from .voting import Voting, draw_voter
 
 LOOK_INTERVAL = 500 * MILLISECOND  # between two looks at the evidence
@@ -78,7 +78,6 @@
 SECOND_COPY_USE = 0.8  # of the bound on outstanding dispatches; above, no second copy is sent
 MAX_ERRORS = 1  # an invocation that has failed more often fails at any appliance
 MAX_VALUE_FACTOR = 2.0  # in overload, up to this much more room is left for what is worth most
-MAX_ADVICE = SECOND  # the longest time after which a client is told to retry
 
 
 class Agent(AgentState):
@@ -484,8 +483,4 @@
             or (effect == FINGERPRINTED and everywhere)
             or all(d.result in NEVER_RAN for d in invocation.dispatches)
         )
-        return Throttle(self.retry_advice()) if harmless else Terminate()
-
-    def retry_advice(self) -> int:
-        """Returns after how many microseconds a throttled client is told to retry; 0 for no advice."""
-        return min(self.settings["max_advice"], MAX_ADVICE) * self.settings["may_advise"]
+        return Throttle(retry_advice(self.settings)) if harmless else Terminate()
--- a/cartweir/logic/overload.py
+++ b/cartweir/logic/overload.py
@@ -1,10 +1,13 @@
-"""Overload control: the bound on an agent's outstanding dispatches."""
+"""Overload control: the bound on an agent's outstanding dispatches, and what throttled clients are told."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from typing import Any
+
 from ..interface import FULL, SUCCEEDED, TIMEOUT, Outcome
 from ..state import AgentState
-from .timing import STALL_TIME
+from .timing import SECOND, STALL_TIME
 
 MIN_FREE_CONCURRENCY = 4.0  # up to which the bound grows by itself, and where it starts at least
 INITIAL_SHARE = 2.0  # of the agent's part of the fleet; the bound starts there
@@ -19,6 +22,12 @@
 LEAST_SHARE = 1.5  # of the agent's part of the fleet; the bound falls no lower
 LEAST_LIMIT = 0.1
 LATE_MEMORY = 16  # one answer counts for one part in this many
+MAX_ADVICE = SECOND  # the longest time after which a client is told to retry
+
+
+def retry_advice(settings: Mapping[str, Any]) -> int:
+    """Returns after how many microseconds a throttled client is told to retry; 0 for no advice."""
+    return min(settings["max_advice"], MAX_ADVICE) * settings["may_advise"]
 
 
 def adjust_concurrency_limit(state: AgentState, outcome: Outcome) -> None:
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -19,6 +19,7 @@
 from ..hosting.tcp import split_address
 from ..interface import Operation
 from ..logic.executed_requests import ExecutedRequests
+from ..logic.overload import retry_advice
 from ..logic.request_memory import RequestMemory
 from . import protocol
 from .client_connection import NOT_YET, ClientCall, ClientConnection, CloseReason, retry_headers
@@ -261,7 +262,7 @@
         return True
 
     def _retry_headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        return retry_headers(self.engine_host.engine.agent.retry_advice())
+        return retry_headers(retry_advice(self.engine_host.settings))
 
     def record_refusal(self, client: ClientConnection, status: int, reason: str) -> None:
         """Counts a refused request, and logs some of them with the reason."""
--- a/cartweir/settings/schema.py
+++ b/cartweir/settings/schema.py
@@ -267,6 +267,11 @@
         256 << 10, description="bytes of one call that may wait here unread, each way"
     )
     message: Size = Field(4 << 20, description="largest request message")
+    request_memory: Size = Field(
+        32 << 20,
+        description="bytes that the requests of all clients may hold, headers and bodies; at least two of "
+        "the largest messages. Beyond it incomplete ones are refused, the largest first, others throttled",
+    )
     answer: Size = Field(64 << 20, description="largest answer message")
     header_list: Size = Field(32 << 10, description="largest header block")
     hold: Size = Field(
