Servers of our own keep what incomplete requests hold within 32 MiB

A controller grew by 70 MB beside 20 connections of 100 half calls each: the limits were those of a message, of streams and of connections alone. wire/calls.Service charges incomplete requests and has the largest give way (UNAVAILABLE, retry in 500 ms). test_a_crowd_of_incomplete_calls_drove_a_controller_over_its_memory[half_requests] was red and passes. 191 tests of seven files passed.

--- a/cartweir/wire/calls.py
+++ b/cartweir/wire/calls.py
@@ -14,6 +14,7 @@
 from tornado.tcpserver import TCPServer
 
 from ..hosting.tcp import connect, spawn, split_address
+from ..logic.request_memory import RequestMemory
 from . import grpc
 from .connection import Connection, Tap
 from .grpc import Headers, MalformedError, MessageScanner, Status
@@ -22,6 +23,9 @@
 DEFAULT_LIMITS = SessionLimits()
 MAX_MESSAGE_BYTES = 4 << 20
 MAX_BUFFER_BYTES = 256 * 1024  # of input that a server's stream buffers
+REQUEST_MEMORY = 32 << 20  # bytes that the incomplete requests of a server may hold
+FIELD_BYTES = 160  # that a header takes besides its name and value
+MEMORY_RETRY_DELAY = 500_000  # microseconds after which a caller that was refused for memory is to retry
 MAX_RETRY_DELAY_DIGITS = 7  # of grpc-retry-pushback-ms
 
 Metadata = Iterable[tuple[bytes, bytes]]
@@ -301,16 +305,32 @@
 class _RequestListener:
     """Listens to a request until it is complete."""
 
-    def __init__(self, service: Service, connection: Connection, headers: Headers) -> None:
-        self.service, self.connection, self.headers = service, connection, headers
+    def __init__(self, service: Service, connection: Connection, stream: Stream, headers: Headers) -> None:
+        self.service, self.connection, self.stream, self.headers = service, connection, stream, headers
         self.body, self.scanner = bytearray(), MessageScanner(service.max_message_bytes)
+        self._header_size = sum(len(name) + len(value) + FIELD_BYTES for name, value in headers)
+        self._charge()
 
     def on_headers(self, stream: Stream, headers: Headers) -> None: ...
     def on_sent(self, stream: Stream, size: int) -> None: ...
-    def on_aborted(self, stream: Stream, how: str, code: int) -> None: ...
+
+    def on_aborted(self, stream: Stream, how: str, code: int) -> None:
+        self.service.memory.release(self)
+
+    def _charge(self) -> None:
+        """Charges what the request holds; it may have to give way itself."""
+        self.service.memory.charge(self, self._header_size + len(self.body), incomplete=True)
+        self.service.free_memory()
+
+    def give_way(self) -> None:
+        """Refuses the request, because all requests together hold too much."""
+        error = retry_later("no memory for a request of this size now", MEMORY_RETRY_DELAY)
+        self._refuse(self.stream, error.status, error.text, error.metadata)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         stream.acknowledge(len(data))
+        if stream.closed:
+            return
         self.body += data
         try:
             self.scanner.feed(data)
@@ -320,8 +340,11 @@
                 Status.RESOURCE_EXHAUSTED if self.scanner.messages == 0 else Status.INTERNAL,
                 str(error),
             )
+            return
+        self._charge()
 
     def on_end(self, stream: Stream, trailers: Headers) -> None:
+        self.service.memory.release(self)
         if stream.closed:
             return
         try:
@@ -338,8 +361,10 @@
         else:
             spawn(self.service.handle(handler, request))
 
-    def _refuse(self, stream: Stream, status: int, text: str) -> None:
-        stream.send_headers([*grpc.response_headers(), *grpc.trailers(status, text)], end=True)
+    def _refuse(self, stream: Stream, status: int, text: str, metadata: Headers = ()) -> None:
+        self.service.memory.release(self)
+        self.body = bytearray()
+        stream.send_headers([*grpc.response_headers(), *grpc.trailers(status, text, metadata)], end=True)
         stream.reset(ErrorCodes.NO_ERROR)
 
 
@@ -354,6 +379,7 @@
         default_handler: Handler for every other path; None: they are unimplemented.
         connections: Open connections.
         accepted: Connections accepted since the start.
+        memory: The bytes that incomplete requests hold.
     """
 
     def __init__(
@@ -375,6 +401,7 @@
         self.default_handler: Handler | None = None
         self.connections: set[Connection] = set()
         self.accepted = 0
+        self.memory = RequestMemory(max(REQUEST_MEMORY, 2 * max_message_bytes))
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Called by Tornado with a new connection."""
@@ -383,6 +410,14 @@
         owner.connection = Connection(stream, False, self.limits, owner, self.tap)
         self.connections.add(owner.connection)
 
+    def free_memory(self) -> None:
+        """Has incomplete requests give way until the limit is kept."""
+        while self.memory.is_exceeded():
+            request = self.memory.give_way()
+            if request is None:
+                return
+            request.give_way()
+
     def listen_on(self, address: str) -> str:
         """Listens, and returns the address with the port that was bound.
 
@@ -426,7 +461,7 @@
         self.service = service
 
     def on_stream(self, stream: Stream, headers: Headers) -> _RequestListener:
-        return _RequestListener(self.service, self.connection, headers)
+        return _RequestListener(self.service, self.connection, stream, headers)
 
     def on_settings(self) -> None: ...
     def on_goaway(self, code: int) -> None: ...
