Soak: hostile crowds and floods, memory and descriptors, clients that leave much unread

The soak drew no hostile clients, gave agents no memory limit and measured nothing. Each run now has a crowd of 60 to 300 connections or one client at full speed (nine kinds), memory limits of 40 to 192 MB and 512 or 1,024 descriptors; clients that leave may leave 100 KB unread, and half of those with an effect ask again under the same id. New in the oracle: peaks within the settings, requests that are never read, an error or a close within 3 s for each hostile connection of a crowd, 409 for repeated ids alone; nine cases that break or keep them on purpose.

--- a/cartweir/soak/clients.py
+++ b/cartweir/soak/clients.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..hosting.clock import monotonic
 
@@ -16,6 +16,9 @@
 EXTRA_WAIT = 1.5  # seconds that a client waits beyond its time limit, to see what still comes
 KEYS = 200  # route keys
 BODY = b"body"
+UNREAD = b"\r\n" * 50_000  # more than an agent reads at once: what some leave behind as they close
+UNREAD_SHARE = 0.5  # of the clients that leave
+REPEAT_SHARE = 0.5  # of the clients that leave, which ask again under the same id, though they must not
 
 # endings of a request
 ANSWERED = "answered"
@@ -42,6 +45,7 @@
         status: Status of the answer; 0 for none.
         body: Body of the answer.
         retry_after: Whether a refusal said when to come back.
+        repeated: Its id came before, and that client had left.
     """
 
     id: str
@@ -56,6 +60,7 @@
     status: int = 0
     body: bytes = b""
     retry_after: bool = False
+    repeated: bool = False
 
 
 @dataclass(eq=False)
@@ -163,8 +168,22 @@
             0,
             connection.used,
         )
+        await self._exchange(front, connection, record, self._random.random() < self.leaving)
+        if record.ending == LEFT and operation != VIEW and self._random.random() < REPEAT_SHARE:
+            await self._repeat(front, record)
+
+    async def _repeat(self, front: Front, left: RequestRecord) -> None:
+        """Asks again under the id of a client that has left."""
+        life, connection = front.life, await front.connection()
+        if connection is not None and life == left.life:
+            record = replace(left, written_at=0, reused=connection.used, ending=SILENT, repeated=True)
+            await self._exchange(front, connection, record, leaves=False)
+
+    async def _exchange(
+        self, front: Front, connection: _Connection, record: RequestRecord, leaves: bool
+    ) -> None:
+        """Sends a request and records how it ends; leaves: its client closes before its time is up."""
         patience = record.time_limit / 1e6 + EXTRA_WAIT
-        leaves = self._random.random() < self.leaving
         if leaves:
             patience = self._random.uniform(0, record.time_limit / 1e6)
         try:
@@ -180,8 +199,11 @@
         record.ended_at = monotonic()
         self.records.append(record)
         connection.used = True
-        if keep and life == front.life:
+        if keep and record.life == front.life:
             front.idle.append(connection)
+        elif record.ending == LEFT and self._random.random() < UNREAD_SHARE:
+            connection.writer.write(UNREAD)
+            connection.writer.transport.abort()
         else:
             connection.writer.close()
 
--- a/cartweir/soak/processes.py
+++ b/cartweir/soak/processes.py
@@ -13,7 +13,9 @@
 from typing import Any
 
 from ..hosting.clock import monotonic
+from ..hosting.process_resources import open_descriptors, peak_resident_bytes
 from .appliance import SERVING, ApplianceMake
+from .hostile_plan import HostilePlan, HostileResult
 from .plan import ProcessPlan
 from .rules import AgentLife
 
@@ -28,6 +30,13 @@
     )
 
 
+async def run_hostile_clients(plan: HostilePlan) -> HostileResult:
+    """Runs hostile clients in a process of their own, until the time of their plan is over."""
+    process = await _spawn("cartweir.soak.hostile_clients", plan.to_json(), stdout=asyncio.subprocess.PIPE)
+    output, _ = await process.communicate()
+    return HostileResult(**json.loads(output))
+
+
 @dataclass(eq=False)
 class ServerProcess:
     """One server, restarted as often as a run wants.
@@ -133,11 +142,20 @@
                 stderr=log,
             )
 
+    def measure(self) -> None:
+        """Notes what the process takes of memory and descriptors, if it runs."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        life = self.lives[-1]
+        life.peak_memory = max(life.peak_memory, peak_resident_bytes(self.process.pid))
+        life.peak_descriptors = max(life.peak_descriptors, open_descriptors(self.process.pid))
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process still runs."""
         life = self.lives[-1]
         if self.process.returncode is not None:
             return
+        self.measure()
         if number == signal.SIGTERM and not life.terminated_at:
             life.terminated_at = monotonic()
         elif number == signal.SIGKILL:
--- a/cartweir/soak/result.py
+++ b/cartweir/soak/result.py
@@ -24,6 +24,8 @@
         starts: Starts of servers that were told.
         cold_pressure: The highest share that a cold server got of what pushes one over.
         violations: Violations that agents counted themselves, by invariant.
+        attacks: Connections of hostile clients, by what they did.
+        memory: The highest share that an agent had of its memory limit.
     """
 
     seed: int
@@ -35,16 +37,19 @@
     starts: int
     cold_pressure: float
     violations: dict[str, int]
+    attacks: dict[str, int]
+    memory: float
 
     def text(self) -> str:
         """Returns the result as lines."""
         verdict = f"{len(self.breaches)} breaches" if self.breaches else "all rules kept"
         lines = [
             f"seed {self.seed}: {verdict}; {self.processes} processes, {self.starts} cold starts, "
-            f"at most {self.cold_pressure:.2f} of a fall",
+            f"at most {self.cold_pressure:.2f} of a fall, {self.memory:.2f} of the memory",
             f"  requests: {_counts(self.endings)}",
             f"  actions: {_counts(self.actions)}",
             f"  faults: {_counts(self.faults)}",
+            f"  hostile connections: {_counts(self.attacks)}",
         ]
         if self.violations:
             lines.append(f"  counted by the agents themselves: {_counts(self.violations)}")
--- a/cartweir/soak/rules.py
+++ b/cartweir/soak/rules.py
@@ -26,6 +26,8 @@
 LARGE_BUDGET = 30  # requests, from which a smaller deviation is enough for a fall
 TOLD_SHARE = 2 / 3  # of the requests that push a cold server over, to count as a breach
 OK_STATUS = 200
+CONFLICT = 409
+KILOBYTE, MEGABYTE = 1_000, 1_000_000  # bytes
 MALFORMED = frozenset((400, 404, 405, 408, 409, 413, 431))
 
 
@@ -60,6 +62,8 @@
         killed_at: When it was sent SIGKILL; 0 if it was not.
         exit_code: With which it ended by itself; None: it did not.
         errors: Lines on its standard error that tell of an internal error.
+        peak_memory: Resident bytes that were seen at most.
+        peak_descriptors: Descriptors that were seen at most.
     """
 
     agent: int
@@ -70,6 +74,8 @@
     killed_at: int = 0
     exit_code: int | None = None
     errors: list[str] = field(default_factory=list)
+    peak_memory: int = 0
+    peak_descriptors: int = 0
 
 
 @dataclass(eq=False)
@@ -109,7 +115,8 @@
             self._told[told.agent].append(told)
         for life in self.lives:
             self._told[life.agent].append(Told(life.agent, life.known_version, life.began_at))
-        self.requests_by_id = {request.id: request for request in self.requests}
+        self.requests_by_id = {request.id: request for request in self.requests if not request.repeated}
+        self.repeats_by_id = {request.id: request for request in self.requests if request.repeated}
         self.lives_by_number = {(life.agent, life.life): life for life in self.lives}
 
     def told_at(self, agent: int, listing: Listing) -> int:
@@ -157,6 +164,17 @@
             yield Breach(0, life.began_at, f"{place} ended with {life.exit_code}")
         for line in life.errors:
             yield Breach(0, life.began_at, f"{place}: {line}")
+        yield from _check_resources(evidence.deployment, life, place)
+
+
+def _check_resources(deployment: Deployment, life: AgentLife, place: str) -> Iterable[Breach]:
+    """No agent goes over its limits of memory and descriptors."""
+    if life.peak_memory > deployment.memory_mb * MEGABYTE:
+        what = f"{place} had {life.peak_memory // KILOBYTE} KB of {deployment.memory_mb} MB"
+        yield Breach(0, life.began_at, what)
+    if life.peak_descriptors > deployment.sockets:
+        what = f"{place} held {life.peak_descriptors} descriptors of {deployment.sockets}"
+        yield Breach(0, life.began_at, what)
 
 
 def check_answers(evidence: Evidence) -> Iterable[Breach]:
@@ -172,9 +190,11 @@
     """Returns how a request was lost; nothing if it was not."""
     if request.ending == ANSWERED:
         return _wrong_answer(request)
+    life = evidence.lives_by_number[request.agent, request.life]
+    if request.ending == SILENT and request.id not in evidence.read and not _ended_before(life, request):
+        return f"never read for {(request.ended_at - request.written_at) // MS} ms"
     if request.ending not in (ENDED, SILENT) or request.id not in evidence.read:
         return ""
-    life = evidence.lives_by_number[request.agent, request.life]
     if life.killed_at and request.ended_at >= life.killed_at:
         owed = life.terminated_at and request.written_at > life.terminated_at + LAST_TAKEN
         return "unanswered at SIGKILL" if owed else ""
@@ -182,6 +202,12 @@
     return f"read, and {request.ending} without an answer after {waited // MS} ms"
 
 
+def _ended_before(life: AgentLife, request: RequestRecord) -> bool:
+    """Returns whether an agent was told to end, or ended, before a request's client gave up."""
+    ends = [at for at in (life.terminated_at, life.killed_at) if at]
+    return life.exit_code is not None or any(at <= request.ended_at for at in ends)
+
+
 def _wrong_answer(request: RequestRecord) -> str:
     """Returns what is wrong with the answer to a request; nothing if it is right."""
     waited = request.ended_at - request.written_at
@@ -189,7 +215,7 @@
         return f"answered after {waited // MS} of {request.time_limit // MS} ms"
     if request.status == OK_STATUS and not request.body.startswith(request.id.encode()):
         return f"answered with {request.body[:40]!r}"
-    if request.status in MALFORMED:
+    if request.status in MALFORMED and not (request.repeated and request.status == CONFLICT):
         return f"answered {request.status}: {request.body[:60]!r}"
     return ""
 
@@ -197,7 +223,7 @@
 def check_attempts_are_wanted(evidence: Evidence) -> Iterable[Breach]:
     """Rule 1: nothing is sent for a request that has its answer, or whose client has gone."""
     for attempt in evidence.servers.attempts:
-        request = evidence.requests_by_id.get(attempt.request_id)
+        request = _request_of(evidence, attempt)
         if request is None:
             continue
         grace = LEFT_GRACE if request.ending in (ANSWERED, LEFT) else 1 << 62
@@ -209,6 +235,14 @@
             yield Breach(1, attempt.at, f"{request.id} told {attempt.timeout // MS} of {left // MS} ms left")
 
 
+def _request_of(evidence: Evidence, attempt: Attempt) -> RequestRecord | None:
+    """Returns the request that an attempt is for: the repeat of an id, once that has been written."""
+    repeat = evidence.repeats_by_id.get(attempt.request_id)
+    if repeat is not None and attempt.at >= repeat.written_at:
+        return repeat
+    return evidence.requests_by_id.get(attempt.request_id)
+
+
 def check_effects(evidence: Evidence) -> Iterable[Breach]:
     """Rule 2: nothing that may have run is sent again, unless that is harmless."""
     by_request: dict[str, list[Attempt]] = defaultdict(list)
--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -17,13 +17,14 @@
 from ..hosting.clock import monotonic
 from . import schedule as kinds
 from .appliance import FAILING, HANGING, RESETTING, SERVING, ApplianceMake
-from .clients import TIME_LIMITS, Clients, Front, stop_amid_request
+from .clients import ORDER, TIME_LIMITS, Clients, Front, stop_amid_request
+from .hostile_plan import HostilePlan
 from .plan import ProcessPlan
 from .platform import CROWDED, DOWN, SILENT, UP, Discovery, ReleaseService, address_for, unix_milliseconds
-from .processes import AgentProcess, ServerProcess
+from .processes import AgentProcess, ServerProcess, run_hostile_clients
 from .records import read_requests_read, read_server_records
 from .result import Result
-from .rules import Breach, Evidence, check_all, cold_pressures
+from .rules import MEGABYTE, Breach, Evidence, check_all, cold_pressures
 from .schedule import SECOND, Action, Schedule
 from .settings import FREE_ATTEMPTS, SHARES, STAGE_CAPS, WINDOW, make_settings
 
@@ -40,6 +41,7 @@
 REMOVED_AFTER = 2.0  # seconds from the announcement that a server leaves to its removal
 HALF_REQUEST_TIME = 3.0  # seconds within which a half request gets an error or a close
 HALF_REQUEST_SLACK = 0.3
+MEASURE_INTERVAL = 0.05  # seconds
 CLOSING_TIME = 0.1  # seconds for connections to end before the loop does
 FIRST_SPAWN_SECONDS = 1.0  # between the start of the clients and the first moment of the plans
 
@@ -67,6 +69,7 @@
         self._busy_agents: set[int] = set()
         self._busy_servers: set[str] = set()
         self._most_processes = 0
+        self._attacks: Counter[str] = Counter()  # connections of hostile clients, by kind
         self._actions: dict[str, Callable[[Action], Awaitable[None]]] = {
             kinds.RESTART_SERVERS: self._restart_servers,
             kinds.HANG_SERVERS: lambda action: self._set_server_modes(action, HANGING),
@@ -84,6 +87,8 @@
             kinds.RELEASE: self._release,
             kinds.CROWD: self._draw_crowd,
             kinds.HALF_REQUESTS: self._stop_amid_requests,
+            kinds.HOSTILE_CROWD: self._attack,
+            kinds.HOSTILE_FLOOD: self._attack,
         }
 
     async def play(self) -> Result:
@@ -91,8 +96,10 @@
         try:
             await self._start_all()
             clients = self._make_clients()
+            measuring = asyncio.ensure_future(self._measure())
             await asyncio.gather(clients.run(self.schedule.seconds), self._act())
             await self._end_agents()
+            measuring.cancel()
         finally:
             await self._end_all()
         evidence = self._evidence(clients)
@@ -121,7 +128,7 @@
                 "listen": address,
                 "discovery": address_for(number, self._discovery_ports[0]),
                 "seed": f"{self.random.getrandbits(32):x}",
-                "limits": {"sockets": 512},
+                "limits": {"memory_mb": self.deployment.memory_mb, "sockets": self.deployment.sockets},
                 "pipeline": {
                     "address": address_for(number, release_port),
                     "news": self.release_service.stages[-1].members(),
@@ -371,6 +378,31 @@
                 what = f"agent {front.agent} left half a request without an error for {seconds:.1f} s"
                 self.breaches.append(Breach(1, monotonic(), what))
 
+    async def _attack(self, action: Action) -> None:
+        """Runs hostile clients at one agent; a crowd's connections are owed an error or a close each."""
+        front = self.fronts[action.targets[0]]
+        if not front.open:
+            return
+        crowd, life = action.kind == kinds.HOSTILE_CROWD, front.life
+        plan = HostilePlan(
+            action.attack,
+            f"127.0.0.1:{front.port}",
+            f"/{ORDER}/x",
+            int(action.amount),
+            action.seconds,
+        )
+        result = await run_hostile_clients(plan)
+        self._attacks[action.attack] += result.connections
+        if crowd and result.waiting and life == front.life:
+            what = f"agent {front.agent} left {result.waiting} of {action.attack} without an error or a close"
+            self.breaches.append(Breach(1, monotonic(), what))
+
+    async def _measure(self) -> None:
+        while True:
+            for agent in self.agents:
+                agent.measure()
+            await asyncio.sleep(MEASURE_INTERVAL)
+
     # ---- the verdict ----
     def _evidence(self, clients: Clients) -> Evidence:
         read, self._faults = read_requests_read(
@@ -404,6 +436,9 @@
             started,
             max((found.received / found.most for found in cold_pressures(evidence)), default=0.0),
             self._violations(),
+            {str(attack): count for attack, count in self._attacks.items()},
+            max((life.peak_memory for life in evidence.lives), default=0)
+            / (self.deployment.memory_mb * MEGABYTE),
         )
         (self.folder / "result.json").write_text(
             json.dumps({**vars(result), "breaches": [str(breach) for breach in breaches]}, indent=1)
--- a/cartweir/soak/schedule.py
+++ b/cartweir/soak/schedule.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from .hostile_plan import CROWDS, FLOODS, Attack
 from .plan import BROKEN, SHORT, CallFault, ClockStep, ProcessPlan
 
 SECOND = 1_000_000
@@ -27,6 +28,8 @@
 RELEASE = "release"  # a build goes on trial on new servers
 CROWD = "crowd"  # more requests for a while
 HALF_REQUESTS = "half_requests"  # clients that stop in the middle of a request
+HOSTILE_CROWD = "hostile_crowd"  # hundreds of hostile connections at one agent
+HOSTILE_FLOOD = "hostile_flood"  # one hostile client at full speed
 
 WEIGHTS = {
     RESTART_SERVERS: 3,
@@ -45,7 +48,10 @@
     RELEASE: 1,
     CROWD: 1,
     HALF_REQUESTS: 1,
+    HOSTILE_CROWD: 3,
+    HOSTILE_FLOOD: 3,
 }
+HOSTILE_KINDS = (HOSTILE_CROWD, HOSTILE_FLOOD)
 CALL_ERRORS = (
     *(("accept", error) for error in ("ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EINTR")),
     *(("connect", error) for error in ("EADDRNOTAVAIL", "ENETUNREACH", "ECONNREFUSED", "ENOBUFS")),
@@ -70,6 +76,10 @@
 STEPPED_CLOCKS = 0.7
 SAME_MACHINE = 0.8  # of an agent, whose clock is then stepped with the others'
 
+MEMORY_LIMITS = (40, 64, 96, 192)  # megabytes; the shim and its records take some of the least
+SOCKET_LIMITS = (512, 1024)
+CROWD_SIZES = (60, 150, 300)  # connections
+
 
 @dataclass(frozen=True)
 class Action:
@@ -81,6 +91,7 @@
         targets: Numbers of the servers or agents that it strikes.
         seconds: How long it lasts.
         amount: How much, where a kind has an amount.
+        attack: What hostile clients do.
     """
 
     at: float
@@ -88,6 +99,7 @@
     targets: Sequence[int] = ()
     seconds: float = 0.0
     amount: float = 0.0
+    attack: Attack | None = None
 
 
 @dataclass(frozen=True)
@@ -109,6 +121,8 @@
         pushed: Lists are pushed, not asked for.
         one_way: Keys go one way.
         listed_after: Seconds between the start of a server and its entry.
+        memory_mb: Megabytes over which an agent is killed.
+        sockets: Descriptors that an agent may hold.
     """
 
     agents: int = 5
@@ -125,6 +139,8 @@
     pushed: bool = False
     one_way: bool = True
     listed_after: float = 0.4
+    memory_mb: int = 192
+    sockets: int = 512
 
     @property
     def rate(self) -> float:
@@ -142,7 +158,8 @@
         deployment: Its size and settings.
         actions: What happens, in order of time.
         plans: The faults of each agent's processes, with times in microseconds after the clients' start.
-        leaving: Share of the requests whose clients leave early.
+        leaving: Share of the requests whose clients leave early; some leave much unread behind them, some
+            ask again under the same id.
     """
 
     seed: int
@@ -176,9 +193,13 @@
         pushed=chance.random() < PUSHED_LISTS,
         one_way=chance.random() < ONE_WAY_KEYS,
         listed_after=chance.uniform(0.1, 1.0),
+        memory_mb=chance.choice(MEMORY_LIMITS),
+        sockets=chance.choice(SOCKET_LIMITS),
     )
     count = max(3, round(seconds * chance.uniform(0.4, 0.8)))
     actions = [_draw_action(chance, deployment, seconds) for _ in range(count)]
+    if not any(action.attack for action in actions):
+        actions.append(_draw_action(chance, deployment, seconds, chance.choice(HOSTILE_KINDS)))
     if chance.random() < EXTRA_CROWD and not any(action.kind == CROWD for action in actions):
         actions.append(_draw_action(chance, deployment, seconds, CROWD))
     steps = tuple(_draw_steps(chance, seconds)) if chance.random() < STEPPED_CLOCKS else ()
@@ -199,6 +220,11 @@
     kind = kind or chance.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
     at = chance.uniform(QUIET_START, max(QUIET_START, seconds - QUIET_END))
     length = chance.uniform(0.5, 4.0)
+    if kind in HOSTILE_KINDS:
+        crowd = kind == HOSTILE_CROWD
+        target, attack = chance.randrange(deployment.agents), chance.choice(CROWDS if crowd else FLOODS)
+        size = chance.choice(CROWD_SIZES) if crowd else 1
+        return Action(at, kind, (target,), length + 1.0, size, attack)
     if kind in (KILL_AGENTS, STOP_AGENTS, STALL_AGENTS, RELOAD_AGENTS):
         most = max(1, round(0.7 * deployment.agents))
         targets = chance.sample(range(deployment.agents), chance.randint(1, most))
--- a/cartweir/soak/shim.py
+++ b/cartweir/soak/shim.py
@@ -26,6 +26,7 @@
 from .plan import BROKEN, SHORT, CallFault, ProcessPlan
 
 MAX_SHORT_READ = 7  # bytes
+MAX_KEPT_HEAD = 1024  # bytes of an incomplete head; a client's own has fewer
 PARENT_CHECK_INTERVAL = 1.0  # seconds
 STANDARD_ERROR = 2  # descriptor
 _REQUEST_ID = re.compile(rb"X-Request-ID: ([!-~]+)\r\n")
@@ -161,7 +162,7 @@
         head, end, rest = seen.rpartition(b"\r\n\r\n")
         for request_id in _REQUEST_ID.findall(head + end):
             self.note(f"read {request_id.decode()}")
-        self._accepted[descriptor] = rest[-64 * 1024 :]
+        self._accepted[descriptor] = rest[-MAX_KEPT_HEAD:]
 
     # ---- files ----
     def install_files(self) -> None:
--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -29,6 +29,7 @@
 from cartweir.faults.ports import free_addresses
 from cartweir.hosting.process_resources import open_descriptors, peak_resident_bytes
 from cartweir.soak.hostile_plan import Attack, HostilePlan, HostileResult
+from cartweir.soak.processes import run_hostile_clients
 
 ROOT = Path(__file__).parents[1]
 MEGABYTE = 1_000_000
@@ -112,19 +113,6 @@
         return await run_hostile_clients(plan)
 
 
-async def run_hostile_clients(plan: HostilePlan) -> HostileResult:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "cartweir.soak.hostile_clients",
-        plan.to_json(),
-        cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE,
-    )
-    output, _ = await process.communicate()
-    return HostileResult(**json.loads(output))
-
-
 @functools.cache
 def compile_program() -> None:
     """Compiles the program as the deploy file's build does: a process that compiles takes more memory."""
--- a/tests/test_controller_memory_limit.py
+++ b/tests/test_controller_memory_limit.py
@@ -6,11 +6,11 @@
 import time
 
 import pytest
-from node_process import run_hostile_clients
 from test_controllers import with_rig
 
 from cartweir.hosting.process_resources import peak_resident_bytes
 from cartweir.soak.hostile_plan import HTTP2_CROWDS, HTTP2_FLOODS, Attack, HostilePlan
+from cartweir.soak.processes import run_hostile_clients
 
 ASK = "/cartweir.v1.Controller/Ask"
 REQUEST_MEMORY = 32 << 20  # bytes that requests may hold at a server of our own
--- a/tests/test_grpc_memory_limit.py
+++ b/tests/test_grpc_memory_limit.py
@@ -9,7 +9,6 @@
 import time
 
 import pytest
-from node_process import run_hostile_clients
 from peers import READ_SIZE, VIEW, Client, answer, rig
 from test_calls import sockets
 from test_processes import end, world
@@ -17,6 +16,7 @@
 from cartweir.hosting.process_resources import peak_resident_bytes
 from cartweir.soak import hostile_http2
 from cartweir.soak.hostile_plan import HTTP2_CROWDS, HTTP2_FLOODS, Attack, HostilePlan
+from cartweir.soak.processes import run_hostile_clients
 from cartweir.wire.connection import MAX_UNREAD_REPLIES, MAX_UNSENT_BYTES
 
 REQUEST_MEMORY = 32 << 20  # bytes, the default of [wire] request_memory
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,10 +5,11 @@
 import pytest
 
 from cartweir.soak.appliance import ApplianceMake
-from cartweir.soak.clients import ANSWERED, ENDED, ISSUE, LEFT, ORDER, VIEW, RequestRecord
+from cartweir.soak.clients import ANSWERED, ENDED, ISSUE, LEFT, ORDER, SILENT, VIEW, RequestRecord
+from cartweir.soak.hostile_plan import CROWDS, FLOODS
 from cartweir.soak.platform import DOWN, UP, Listing, StageTold, Told
 from cartweir.soak.records import Attempt, ServerRecords
-from cartweir.soak.rules import AgentLife, Evidence, check_all
+from cartweir.soak.rules import MEGABYTE, AgentLife, Evidence, check_all
 from cartweir.soak.run import play
 from cartweir.soak.schedule import SECOND, WEIGHTS, Deployment, draw_schedule
 
@@ -29,6 +30,8 @@
     runs = [draw_schedule(seed, 15.0) for seed in range(60)]
     assert {action.kind for run in runs for action in run.actions} == set(WEIGHTS)
     calls = {(fault.call, fault.error) for run in runs for plan in run.plans for fault in plan.calls}
+    attacks = {action.attack for run in runs for action in run.actions} - {None}
+    assert attacks == {*CROWDS, *FLOODS}
     assert len(calls) >= 20 and any(plan.steps for run in runs for plan in run.plans)
 
 
@@ -49,15 +52,19 @@
 
 
 def evidence(requests=(), attempts=(), listings=(), told=(), **more) -> Evidence:
-    """Returns the records of a run with one server and one agent; more: stages, modes, or of its process."""
+    """Returns the records of a run with one server and one agent.
+
+    more: stages, modes, read, or of its process.
+    """
     stages, modes = more.pop("stages", ()), more.pop("modes", ((0, UP),))
+    read = more.pop("read", {each.id: each.written_at for each in requests})
     make = ApplianceMake("s0", 1, 2, 2, 40, 40 * MS, 0.1, 10 * SECOND, SECOND, 1)
     return Evidence(
         DEPLOYMENT,
         {"s0": make},
         requests,
         ServerRecords(sorted(attempts, key=lambda each: each.at)),
-        {each.id: each.written_at for each in requests},
+        read,
         listings or [listing(1)],
         told,
         modes,
@@ -75,6 +82,13 @@
     assert rules(evidence([request("r")], [attempt("r", SECOND + 10 * MS)])) == []
     gone = request("r", ending=ENDED, status=0)
     assert rules(evidence([gone], killed_at=SECOND + 50 * MS)) == []
+    limits = {"peak_memory": DEPLOYMENT.memory_mb * MEGABYTE, "peak_descriptors": DEPLOYMENT.sockets}
+    assert rules(evidence(**limits)) == []
+    unread = request("r", ending=SILENT, status=0)
+    assert rules(evidence([unread], read={}, terminated_at=SECOND)) == []
+    left, again = request("r", ORDER, ending=LEFT), request("r", ORDER, at=2 * SECOND, repeated=True)
+    assert rules(evidence([left, again], [attempt("r", 2 * SECOND + MS)])) == []
+    assert rules(evidence([left, request("r", ORDER, repeated=True, status=409)])) == []
 
 
 @pytest.mark.parametrize(
@@ -82,6 +96,10 @@
     [
         (evidence(exit_code=1), 0),
         (evidence(errors=["invariant_violated"]), 0),
+        (evidence(peak_memory=DEPLOYMENT.memory_mb * MEGABYTE + 1), 0),
+        (evidence(peak_descriptors=DEPLOYMENT.sockets + 1), 0),
+        (evidence([request("r", ending=SILENT, status=0)], read={}), 1),
+        (evidence([request("r", ORDER, status=409)]), 1),
         (evidence([request("r", ending=ENDED, status=0)]), 1),
         (evidence([request("r", ended_at=3 * SECOND)]), 1),
         (evidence([request("r", body=b"q")]), 1),
@@ -91,6 +109,13 @@
         (evidence([request("r", ending=LEFT)], [attempt("r", SECOND + 300 * MS)]), 1),
         (evidence([request("r")], [attempt("r", SECOND + 10 * MS, timeout=2 * SECOND)]), 1),
         (evidence([request("r", ISSUE)], [attempt("r", SECOND + n * MS) for n in (1, 2)]), 2),
+        (
+            evidence(
+                [request("r", ISSUE, ending=LEFT), request("r", ISSUE, at=2 * SECOND, repeated=True)],
+                [attempt("r", SECOND + MS), attempt("r", 2 * SECOND + MS)],
+            ),
+            2,
+        ),
         (
             evidence(
                 [request("r", ORDER, ended_at=4 * SECOND, time_limit=4 * SECOND)],
