--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -29,6 +29,7 @@
 
 LISTEN_BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPTS_PER_TURN = 64  # so that established connections get their share of each turn of the event loop
+ACCEPT_RETRIES = 1  # at once, of an accept that failed for want of resources: that may pass in a moment
 READ_BUFFER_BYTES = 256 * 1024
 PREFIX_BYTES = 5  # of a gRPC message: its compression flag and length
 FIELD_BYTES = 160  # that a header takes besides its name and value
@@ -157,7 +158,8 @@
         self._watch()
 
     def _accept_now(self, sock: socket.socket) -> None:
-        for _ in range(self._accepts_per_turn):
+        count = failures = 0  # failures in a row
+        while count < self._accepts_per_turn:
             try:
                 accepted, _ = sock.accept()
             except BlockingIOError:
@@ -167,8 +169,12 @@
             except OSError as error:
                 if error.errno not in OUT_OF_RESOURCES:
                     raise
-                self._pause(error)
-                return
+                failures += 1
+                if failures > ACCEPT_RETRIES:
+                    self._pause(error)
+                    return
+                continue
+            count, failures = count + 1, 0
             self._accepted(accepted)
 
     def _pause(self, error: OSError) -> None:
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -46,6 +46,7 @@
 
 LISTEN_BACKLOG = 1024  # connections that wait in the kernel to be accepted
 ACCEPTS_PER_TURN = 32
+ACCEPT_RETRIES = 1  # at once, of an accept that failed for want of resources: that may pass in a moment
 # errors of accept
 NO_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE))
 NO_RESOURCES = NO_DESCRIPTORS | {errno.ENOBUFS, errno.ENOMEM}
@@ -141,6 +142,7 @@
         places are taken by clients with open requests, the others wait in the kernel's queue: accepting and
         closing them would lose the requests they have sent.
         """
+        failures = 0  # in a row
         for _ in range(max_count):
             if self._listener is None:
                 return True
@@ -155,8 +157,12 @@
             except OSError as error:
                 if error.errno not in NO_RESOURCES or (error.errno in NO_DESCRIPTORS and self._evict()):
                     continue  # that connection has broken already, or there is room now
+                failures += 1
+                if failures <= ACCEPT_RETRIES:
+                    continue
                 self._pause_accepting(error)
                 return False
+            failures = 0
             sock.setblocking(False)
             client = ClientConnection(self, sock)
             if self._accepted_late:
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -4,10 +4,11 @@
 
 import pytest
 
+from cartweir.soak.hostile_plan import Attack
 from cartweir.soak.plan import CallFault, ProcessPlan
 from cartweir.soak.result import Result
 from cartweir.soak.run import play
-from cartweir.soak.schedule import SECOND, STOP_AGENTS, Action, Deployment, Schedule
+from cartweir.soak.schedule import HOSTILE_CROWD, SECOND, STOP_AGENTS, Action, Deployment, Schedule
 
 AGENTS = 2
 ACCEPT_PAUSE_SECONDS = 0.01
@@ -61,6 +62,13 @@
     assert result.breaches == [], result.text()
 
 
+def test_usual_clients_waited_in_the_queue_behind_a_hostile_crowd_while_some_accepts_failed(tmp_path):
+    """Each failure paused for 10 ms, in which hundreds of hostile clients came again."""
+    crowd = Action(0.5, HOSTILE_CROWD, (0,), 3.0, 300, Attack.ENDLESS_TRAILERS)
+    result = play_failing(tmp_path, ("accept", "EMFILE", 0.3, 60.0), actions=[crowd])
+    assert result.breaches == [], result.text()
+
+
 def test_time_for_which_a_connection_could_not_be_accepted_counts_against_its_deadline(tmp_path):
     """A server was told 260 ms where the client had 91 ms left."""
     result = play_failing(tmp_path, ("accept", "ENOBUFS", 1.0, 0.6))
