Pieces of answers and of what waits to be sent are joined, as those of requests

The same mistake in related code, found by reading: an answer that is held (up to 1 MiB) and a stream's queue (256 KiB) were lists of the pieces as they came; frames of two bytes take about 60 and 200 bytes each there. wire/pieces.py joins pieces below 1 KiB. test_a_queue_of_tiny_pieces_took_many_times_their_size fails without it (100,000 places for 200,000 bytes).

--- a/cartweir/agent/appliance_pools.py
+++ b/cartweir/agent/appliance_pools.py
@@ -20,6 +20,7 @@
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
 from ..wire.grpc import Headers, MalformedError, MessageScanner
+from ..wire.pieces import append_piece
 from ..wire.session import SessionLimits, Stream
 from . import grpc_mapping
 from .front import ClientCall
@@ -512,7 +513,7 @@
             self.call.data(data)  # acknowledged as the client takes it
             return
         stream.acknowledge(len(data))
-        self.body.append(data)
+        append_piece(self.body, data)
         self.held += len(data)
         if self.held > self.pools.options.hold:
             self._pass_on()
--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -24,6 +24,7 @@
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
 from ..wire.grpc import Headers, MalformedError, MessageScanner, Status
+from ..wire.pieces import append_piece
 from ..wire.session import SessionLimits, Stream
 from . import grpc_mapping
 
@@ -33,7 +34,6 @@
 READ_BUFFER_BYTES = 256 * 1024
 PREFIX_BYTES = 5  # of a gRPC message: its compression flag and length
 FIELD_BYTES = 160  # that a header takes besides its name and value
-MIN_PIECE_BYTES = 1024  # of a body; smaller pieces are joined, since each takes memory of its own
 SURE_MESSAGES = 2  # of the largest size, that always fit
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -405,10 +405,7 @@
                 Status.RESOURCE_EXHAUSTED if "the most" in str(error) else Status.INTERNAL, str(error)
             )
             return
-        if self.body and len(self.body[-1]) < MIN_PIECE_BYTES:
-            self.body[-1] += data
-        else:
-            self.body.append(data)
+        append_piece(self.body, data)
         self._size += len(data)
         self.front.memory.charge(self, self._size, incomplete=True)
         self.front.free_memory()
--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -23,6 +23,7 @@
 from hyperframe.frame import GoAwayFrame
 
 from .grpc import Headers
+from .pieces import MIN_PIECE_BYTES
 
 MAX_WINDOW = 2**31 - 1  # bytes; the largest flow-control window of HTTP/2
 DEFAULT_WINDOW = 65_535  # bytes; of a connection as it starts
@@ -131,7 +132,11 @@
         if self.closed or self._ending:
             return
         if data:
-            self._queue.append(memoryview(data))
+            if self._queue and len(self._queue[-1]) < MIN_PIECE_BYTES:
+                data_before = self._queue.pop()
+                self._queue.append(memoryview(bytes(data_before) + data))
+            else:
+                self._queue.append(memoryview(data))
             self.queued += len(data)
         self._ending = end
         self.session._schedule(self)
--- a/tests/test_wire_grpc.py
+++ b/tests/test_wire_grpc.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from cartweir.wire import grpc
+from cartweir.wire.pieces import MIN_PIECE_BYTES
 from cartweir.wire.session import CONNECTION_LOST, REFUSED, RESET, UNPROCESSED, Session, SessionLimits
 
 
@@ -201,3 +202,13 @@
     exchange(client, server)
     assert server.take() == [("stream", kept.id), ("end", kept.id, 0)]
     assert list(server.session.streams) == [kept.id]
+
+
+def test_a_queue_of_tiny_pieces_took_many_times_their_size():
+    client, server = pair(window=65_535)
+    stream = client.session.open(HEADERS, client)
+    for _ in range(100_000):
+        stream.send_data(b"xy")
+    assert stream.queued == 200_000 and len(stream._queue) <= 200_000 / MIN_PIECE_BYTES + 1
+    exchange(client, server)
+    assert sum(event[2] for event in server.take() if event[0] == "data") == 65_535
