Bound keys are limited, and long keys are remembered by a digest

Tenants, classes and ids leave nothing behind; one-way keys that a build on trial answered were kept in full and without a limit until the next stage, and a client chooses their number and length (16 KiB). Not shown by a run between processes.

--- a/cartweir/agent/grpc_mapping.py
+++ b/cartweir/agent/grpc_mapping.py
@@ -12,6 +12,7 @@
 from google.protobuf.message import DecodeError
 
 from .. import interface as ours
+from ..hosting.compact_keys import compact_key
 from ..proto import orca_pb2
 from ..wire import grpc
 from ..wire.grpc import Headers, MalformedError, Status
@@ -108,7 +109,7 @@
     )
     request.customer = found.get(CUSTOMER, b"").decode("latin-1")
     if (key := found.get(KEY)) is not None:
-        request.key = key.decode("latin-1")
+        request.key = compact_key(key)
     if (work := found.get(WORK)) is not None:
         request.hint = grpc.decode_timeout(work)  # written like grpc-timeout: 120m is 120 ms
     request.retry = found.get(RETRY) == b"1" or found.get(grpc.ATTEMPTS, b"0") not in (b"0", b"")
--- a/cartweir/logic/exposure.py
+++ b/cartweir/logic/exposure.py
@@ -7,6 +7,7 @@
 from ..window import WindowBudget
 from .builds import exposure_cap, runs_newest_build
 
+MAX_BOUND_KEYS = 20_000
 UNREAD_AFTER = 0.6  # of the SLO time: a dispatch outstanding for longer may have been answered unread
 
 
@@ -21,6 +22,20 @@
     }
 
 
+def _would_bind_too_many(state: AgentState, invocation: Invocation) -> bool:
+    """Returns whether a build on trial would bind one more key than may be remembered.
+
+    Such an invocation goes to the earlier build, while there is one.
+    """
+    return bool(
+        state.settings["one_way"]
+        and invocation.key
+        and len(state.bound_keys) >= MAX_BOUND_KEYS
+        and invocation.key not in state.bound_keys
+        and not state.earlier_build_gone
+    )
+
+
 def within_limits(state: AgentState, invocation: Invocation, appliance: Appliance) -> bool:
     """Returns whether exposure and one-way keys allow the invocation to go to this appliance."""
     stage, cap = state.stage, exposure_cap(state, appliance)
@@ -48,6 +63,8 @@
             )
         )
         return appliance.build >= (stage.build if newest_only else state.bound_keys.get(invocation.key, 0))
+    if _would_bind_too_many(state, invocation):
+        return False
     number = stage.number if runs_newest_build(state, appliance) else 0
     return state.exposure_budgets[invocation.operation].room(state.host.now, cap) and (
         invocation.operation.effect == IDEMPOTENT or number >= state.settings["guarded_stages"]
--- a/cartweir/node/request_check.py
+++ b/cartweir/node/request_check.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..hosting.compact_keys import compact_key
 from ..interface import FINGERPRINTED, IDEMPOTENT, Operation
 from . import protocol
 from .http1 import HttpError, Request
@@ -48,7 +49,7 @@
         figures = protocol.parse_attributes(header(protocol.ATTRIBUTES_HEADER))
         return {
             "customer": header(protocol.CUSTOMER_HEADER).decode("latin-1"),
-            "key": key.decode("latin-1") if key else None,
+            "key": compact_key(key) if key else None,
             "work_hint": int(work) if work.isdigit() and len(work) <= MAX_WORK_DIGITS else 0,
             "retry": header(protocol.RETRY_HEADER) == b"1",
             "write": figures.get("update") in ("1", "true"),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,6 +10,7 @@
 from helpers import DRAINING, MS, S, Scene
 
 from cartweir.interface import CANCELLED, ERROR, FULL, GOING_BACK, RESET, TIMEOUT, UNCONNECTED, Tally
+from cartweir.logic import exposure
 from cartweir.window import WindowBudget
 
 EARLIER, TRIAL = [f"old{n}" for n in range(8)], ["new0", "new1"]
@@ -136,6 +137,23 @@
     scene.matches("one_way_keys")
 
 
+def test_bound_keys_grew_without_end_under_ever_new_names(monkeypatch):
+    """Keys beyond the limit go to the earlier build, while there is one."""
+    monkeypatch.setattr(exposure, "MAX_BOUND_KEYS", 3)
+    scene = Scene(one_way=True, free=100.0)
+    scene.list("old0")
+    scene.list("new0", build=2)
+    scene.stage(2, 0, 1.0)
+    sent_to = []
+    for number in range(60):
+        scene.pass_to((number + 1) * 50 * MS)
+        scene.take(scene.draw, key=f"k{number}")
+        sent_to.append(scene.out[-1].appliance.id)
+        scene.end(scene.out[-1])
+    assert 1 <= len(scene.engine.agent.bound_keys) <= 3
+    assert set(sent_to[-20:]) == {"old0"}
+
+
 def test_no_key_goes_to_an_earlier_build_that_is_listed_after_the_release():
     """Guards against an appliance that vanished and comes back with the earlier build."""
     scene = Scene(one_way=True)
