--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -23,7 +23,7 @@
 from ..logic.request_memory import RequestMemory
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
-from ..wire.grpc import Headers, MalformedError, MessageScanner, Status
+from ..wire.grpc import Headers, MalformedError, MessageScanner, MessageTooLongError, Status
 from ..wire.pieces import append_piece
 from ..wire.session import SessionLimits, Stream
 from . import grpc_mapping
@@ -400,10 +400,11 @@
             return
         try:
             self.scanner.feed(data)
+        except MessageTooLongError as error:
+            self.refuse(Status.RESOURCE_EXHAUSTED, str(error))
+            return
         except MalformedError as error:
-            self.refuse(
-                Status.RESOURCE_EXHAUSTED if "the most" in str(error) else Status.INTERNAL, str(error)
-            )
+            self.refuse(Status.INTERNAL, str(error))
             return
         append_piece(self.body, data)
         self._size += len(data)
--- a/cartweir/wire/grpc.py
+++ b/cartweir/wire/grpc.py
@@ -49,6 +49,10 @@
     """The input does not follow the protocol; the text says where and why."""
 
 
+class MessageTooLongError(MalformedError):
+    """A message is longer than the settings allow."""
+
+
 # ---- grpc-timeout -----------------------------------------------------------------------------------
 _UNITS = {b"H": 3_600_000_000, b"M": 60_000_000, b"S": 1_000_000, b"m": 1_000, b"u": 1, b"n": 0.001}
 _TIMEOUT = re.compile(rb"([0-9]{1,8})([HMSmun])")
@@ -211,7 +215,8 @@
         """Scans the next piece.
 
         Raises:
-            MalformedError: A compressed flag is neither 0 nor 1, or a message is too long.
+            MalformedError: A compressed flag is neither 0 nor 1.
+            MessageTooLongError: A message is too long.
         """
         position, size = 0, len(piece)
         while position < size:
@@ -226,7 +231,7 @@
                 if flag > 1:
                     raise MalformedError(f"compressed flag is {flag}, where 0 or 1 is due")
                 if self._missing > self.max_message_bytes:
-                    raise MalformedError(
+                    raise MessageTooLongError(
                         f"message of {self._missing} bytes, where {self.max_message_bytes} are the most"
                     )
             count = min(self._missing, size - position)
