A connection gives way between slices of its input only if another one waits

Between two slices the loop's selector is now asked whether another connection waits; without one, input goes on, for 20 ms at most if no call of it was taken.

--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -442,6 +442,7 @@
         if not front.free_memory():
             self.throttle(retry_advice(front.engine_host.settings))
             return
+        stream.session.calls_taken += 1
         operation = front.operations[request.path]
         limit = operation.time_limit if request.timeout is None else request.timeout
         self.invocation = front.engine_host.accept(
--- a/cartweir/wire/connection.py
+++ b/cartweir/wire/connection.py
@@ -13,7 +13,7 @@
 from ..hosting.receive_queue import closed_by_peer
 from ..hosting.tcp import READ_SIZE
 from .grpc import Headers
-from .input_pacer import InputPacer, backlog_turn
+from .input_pacer import MAX_TURN_TIME, InputPacer, backlog_turn, others_wait
 from .session import Session, SessionLimits, Stream, StreamListener
 
 MAX_UNSENT_BYTES = 256 * 1024  # handed to the socket and not yet taken; more stays in the streams' queues
@@ -128,17 +128,32 @@
         self.close(why)
 
     async def _process(self, data: bytes) -> None:
-        """Handles input: the first slice at once, further ones in turn with other connections."""
+        """Handles input slice by slice, in turn with other connections that wait."""
         await self._until_replies_are_read()
-        position = 0 if self._has_ended() else self._process_slice(data, 0)
+        position = self._process_slices(data, 0)
         while position < len(data):
             await self._until_replies_are_read()
             async with backlog_turn():
-                if self._has_ended():
-                    return
-                position = self._process_slice(data, position)
+                position = self._process_slices(data, position)
                 await asyncio.sleep(0)
 
+    def _process_slices(self, data: bytes, position: int) -> int:
+        """Handles slices from a position on until another connection waits; returns where they end.
+
+        Timers wait too, but those of the decisions are run with each call that is taken.
+        """
+        began, taken_before = monotonic(), self.session.calls_taken
+        while not self._has_ended():
+            position = self._process_slice(data, position)
+            idle = not self.session.client and self.session.calls_taken == taken_before
+            if (
+                position == len(data)
+                or (idle and monotonic() - began > MAX_TURN_TIME)
+                or others_wait(self._stream.fileno())
+            ):
+                return position
+        return len(data)  # the rest is of no use
+
     def _has_ended(self) -> bool:
         """Returns whether input is of no more use."""
         if self._closed or self.session.failure is not None:
--- a/cartweir/wire/input_pacer.py
+++ b/cartweir/wire/input_pacer.py
@@ -1,19 +1,21 @@
 """Shares the time of the event loop among connections that have much input to handle.
 
 A read of 64 KiB may hold thousands of frames. Handled in one turn of the loop, they would hold up all other
-connections. So input is cut into slices that take about the same time; a connection's first slice is handled
-at once, and of all further ones the loop handles one in each turn.
+connections. So input is cut into slices that take about the same time. Between two of them, a connection lets
+others have their turn if any of them waits; of slices that are left over, the loop handles one in each turn.
 """
 
 from __future__ import annotations
 
 import asyncio
+import selectors
 from weakref import WeakKeyDictionary
 
 SLICE_TIME = 1_000  # microseconds
 MIN_SLICE_BYTES = 256
 MAX_SLICE_BYTES = 64 * 1024
 FIRST_SLICE_BYTES = 4 * 1024
+MAX_TURN_TIME = 20_000  # microseconds without a call that was taken; then timers get their turn
 
 _backlogs: WeakKeyDictionary[asyncio.AbstractEventLoop, asyncio.Lock] = WeakKeyDictionary()
 
@@ -27,6 +29,15 @@
     return lock
 
 
+def others_wait(descriptor: int) -> bool:
+    """Returns whether a connection of the running loop waits, besides the one with this descriptor."""
+    selector = getattr(asyncio.get_running_loop(), "_selector", None)
+    if not isinstance(selector, selectors.DefaultSelector):
+        return True  # unknown
+    # not by the loop's own class, which would take this for one of its turns
+    return any(key.fd != descriptor for key, _ in selectors.DefaultSelector.select(selector, 0))
+
+
 class InputPacer:
     """Sizes the slices by the time that the ones before took.
 
--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -200,6 +200,7 @@
         failure: Why the connection is of no more use; None while it works.
         closing: GOAWAY was sent or received: there are no new streams.
         pending_pings: Payloads of pings that the peer has not answered.
+        calls_taken: Calls that the owner has taken so far; it counts them.
         begins_cancelled: Whether a request is begun that was cancelled before it was read.
         on_output: Called whenever `take_output` may have more.
     """
@@ -211,6 +212,7 @@
         self.closing = False
         self.pending_pings: set[bytes] = set()
         self.begins_cancelled = True
+        self.calls_taken = 0
         self.on_output: Callable[[], None] = lambda: None
         self._sending: dict[int, Stream] = {}  # streams with something to send, in turn
         self._blocked: dict[int, Stream] = {}  # streams that a flow-control window blocks
--- a/tests/test_input_pacer.py
+++ b/tests/test_input_pacer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from test_calls import sockets
 
@@ -13,6 +14,7 @@
     SLICE_TIME,
     InputPacer,
     backlog_turn,
+    others_wait,
 )
 
 
@@ -41,3 +43,21 @@
 
     await asyncio.gather(handle("a"), handle("b"))
     assert order == ["a", "b"] * 3
+
+
+@sockets
+async def test_a_connection_waits_only_if_another_one_does():
+    loop = asyncio.get_running_loop()
+    (one, other), (third, fourth) = socket.socketpair(), socket.socketpair()
+    for end in (one, third):
+        end.setblocking(False)
+        loop.add_reader(end.fileno(), lambda: None)
+    assert not others_wait(one.fileno())
+    other.send(b"x")
+    assert not others_wait(one.fileno()) and others_wait(third.fileno())
+    fourth.send(b"x")
+    assert others_wait(one.fileno())
+    for end in (one, third):
+        loop.remove_reader(end.fileno())
+    for end in (one, other, third, fourth):
+        end.close()
