--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -19,7 +19,7 @@
     assert report.breaches == [], report.text()
     assert report.lives == 4  # three agents, and the second life of one
     assert {operation for operation, _ in report.table} == {"parcel-view", "extract-order", "extract-issue"}
-    counts = [row for row in report.table.values()]
+    counts = list(report.table.values())
     assert sum(c["succeeded"] for c in counts) > 0.7 * sum(c["taken"] for c in counts) > 300
     assert any("is killed" in line for line in said) and any("build 3" in line for line in said)
 
@@ -140,7 +140,7 @@
 
 
 def test_a_short_bad_day_on_three_controllers_keeps_the_rules(tmp_path):
-    """The release's owner is killed, stopped and cut off; the verdict on the agents is the audit's, from their sockets."""
+    """The release's owner is killed, stopped and cut off; the audit judges the agents by their sockets."""
     said = []
     day = ControllerDay(tmp_path, 4, 14.0, said.append, rate=60.0)
     report = asyncio.run(day.run())
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -17,6 +17,7 @@
         capture_output=True,
         text=True,
         timeout=60,
+        check=False,
     )
     return done.returncode, json.loads(done.stdout), done.stderr
 
