A connection that is closed amid its input begins nothing more, and is no internal error

After the owner had closed a connection from within one of its events, the events behind it were still handled: requests were begun for a closed connection, or the reader ended in an AttributeError. Session.receive stops at the failure.

--- a/cartweir/wire/connection.py
+++ b/cartweir/wire/connection.py
@@ -80,6 +80,7 @@
             tap: Sees all bytes.
         """
         self._stream, self._owner, self._tap = stream, owner, tap
+        self._descriptor = stream.socket.fileno()
         self.session = Session(client, limits, owner)
         self.session.on_output = self._schedule_flush
         self._flush_scheduled = self._closed = False
@@ -149,7 +150,7 @@
             if (
                 position == len(data)
                 or (idle and monotonic() - began > MAX_TURN_TIME)
-                or others_wait(self._stream.fileno())
+                or others_wait(self._descriptor)
             ):
                 return position
         return len(data)  # the rest is of no use
--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -308,7 +308,7 @@
         found, error = self._h2.receive(data)
         for event in found if self.begins_cancelled else _without_cancelled(found):
             handle = _HANDLERS.get(type(event))
-            if handle is not None:
+            if handle is not None and not self.failure:  # the owner may close the connection in between
                 handle(self, event)
         if error is not None:
             self.fail(error)
--- a/tests/test_input_pacer.py
+++ b/tests/test_input_pacer.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 
 from test_calls import sockets
 
+from cartweir.soak import hostile_http2
+from cartweir.soak.hostile_plan import Attack, HostilePlan
+from cartweir.wire import calls
 from cartweir.wire.input_pacer import (
     FIRST_SLICE_BYTES,
     MAX_SLICE_BYTES,
@@ -61,3 +65,28 @@
         loop.remove_reader(end.fileno())
     for end in (one, other, third, fourth):
         end.close()
+
+
+@sockets
+async def test_a_connection_that_was_closed_amid_its_input_was_reported_as_an_internal_error(monkeypatch):
+    loop, errors = asyncio.get_running_loop(), []
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+    ended = asyncio.Event()
+
+    def close_it(accepted, stream, headers):
+        accepted.connection.close("closed amid its input")
+        ended.set()
+
+    monkeypatch.setattr(calls._AcceptedConnection, "on_stream", close_it)
+    service = calls.Service()
+    host, port = service.listen_on("127.0.0.1:0").split(":")
+    plan = HostilePlan(Attack.SMALL_REQUESTS, f"{host}:{port}", "/a.B/C", 1, 1.0)
+    client = socket.create_connection((host, int(port)))
+    client.setblocking(False)
+    await loop.sock_sendall(client, b"".join(itertools.islice(hostile_http2.pieces(plan, 1), 3)))
+    await ended.wait()
+    for _ in range(10):
+        await asyncio.sleep(0)
+    assert errors == []
+    client.close()
+    service.shutdown()
