--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -109,14 +109,15 @@
     Attributes:
         loop: The event loop.
         socket: The socket.
-        owner: Handles its events.
+        owner: Handles its events; None once it is closed.
         closed: Whether it has been closed.
     """
 
     __slots__ = ("_fd", "_pause", "_tells_state", "_unsent", "closed", "loop", "owner", "socket")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, owner: SocketOwner) -> None:
-        self.loop, self.socket, self.owner = loop, sock, owner
+        self.loop, self.socket = loop, sock
+        self.owner: SocketOwner | None = owner
         self._fd, self._unsent, self.closed = sock.fileno(), b"", False
         self._tells_state = tells_state(sock)
         self._pause: asyncio.TimerHandle | None = None  # before what is unsent is tried again
@@ -218,6 +219,7 @@
             elif self._unsent:
                 self.loop.remove_writer(self._fd)
             self.socket.close()
+            self.owner = None  # breaks the reference cycle: closed connections are freed at once
 
 
 class PendingConnection:
