--- a/cartweir/soak/plan.py
+++ b/cartweir/soak/plan.py
@@ -16,7 +16,7 @@
     """A step of the wall clock.
 
     Attributes:
-        at: When it happens, in microseconds of the monotonic clock.
+        at: When it happens, in microseconds after the clients' start.
         seconds: How far the clock is set forward; below 0: back.
     """
 
@@ -31,7 +31,7 @@
     Attributes:
         call: One of accept, connect, socket, send, recv, open and log (writes to standard error).
         error: Name of the errno, or SHORT.
-        begins_at: From when on, in microseconds of the monotonic clock.
+        begins_at: From when on, in microseconds after the clients' start.
         ends_at: Until when.
         share: The share of the calls that fail.
     """
@@ -51,11 +51,14 @@
         seed: Which of the calls fail is drawn from it.
         steps: Steps of the wall clock.
         calls: System calls that fail.
+        origin_file: The file that appears as the clients start, with that time in microseconds of the
+            monotonic clock; nothing fails before.
     """
 
     seed: int = 0
     steps: Sequence[ClockStep] = field(default=())
     calls: Sequence[CallFault] = field(default=())
+    origin_file: str = ""
 
     def write(self, path: Path) -> None:
         """Writes the plan to a file."""
@@ -69,4 +72,12 @@
             found["seed"],
             tuple(ClockStep(**step) for step in found["steps"]),
             tuple(CallFault(**fault) for fault in found["calls"]),
+            found["origin_file"],
         )
+
+
+def write_origin(path: Path, at: int) -> None:
+    """Lets the times of all plans begin that name this file."""
+    part = path.with_suffix(".part")
+    part.write_text(str(at))
+    part.replace(path)
--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -19,7 +19,7 @@
 from .appliance import FAILING, HANGING, RESETTING, SERVING, ApplianceMake
 from .clients import ORDER, TIME_LIMITS, Clients, Front, stop_amid_request
 from .hostile_plan import HostilePlan
-from .plan import ProcessPlan
+from .plan import ProcessPlan, write_origin
 from .platform import CROWDED, DOWN, SILENT, UP, Discovery, ReleaseService, address_for, unix_milliseconds
 from .processes import AgentProcess, ServerProcess, run_hostile_clients
 from .records import read_requests_read, read_server_records
@@ -43,7 +43,6 @@
 HALF_REQUEST_SLACK = 0.3
 MEASURE_INTERVAL = 0.05  # seconds
 CLOSING_TIME = 0.1  # seconds for connections to end before the loop does
-FIRST_SPAWN_SECONDS = 1.0  # between the start of the clients and the first moment of the plans
 
 
 class Run:
@@ -64,6 +63,7 @@
         self.fronts: list[Front] = []
         self.breaches: list[Breach] = []
         self._discovery_ports: list[int] = []
+        self._origin_file = folder.resolve() / "origin"
         self._crowd = 1.0
         self._build = FIRST_BUILD
         self._busy_agents: set[int] = set()
@@ -96,6 +96,7 @@
         try:
             await self._start_all()
             clients = self._make_clients()
+            write_origin(self._origin_file, monotonic())
             measuring = asyncio.ensure_future(self._measure())
             await asyncio.gather(clients.run(self.schedule.seconds), self._act())
             await self._end_agents()
@@ -117,12 +118,11 @@
 
     async def _start_agents(self, release_port: int) -> None:
         addresses = free_addresses(self.deployment.agents)
-        origin = monotonic() + int(FIRST_SPAWN_SECONDS * SECOND)
         for number, address in enumerate(addresses, 1):
             folder = self.folder / f"agent{number}"
             folder.mkdir()
             plans = self.schedule.plans
-            plan = _shifted(plans[number - 1], origin) if plans else ProcessPlan()
+            plan = replace(plans[number - 1] if plans else ProcessPlan(), origin_file=str(self._origin_file))
             configuration = {
                 "name": f"n{number}",
                 "listen": address,
@@ -456,18 +456,6 @@
         return dict(counts)
 
 
-def _shifted(plan: ProcessPlan, origin: int) -> ProcessPlan:
-    """Returns the plan with its times on the monotonic clock."""
-    return replace(
-        plan,
-        steps=tuple(replace(step, at=step.at + origin) for step in plan.steps),
-        calls=tuple(
-            replace(fault, begins_at=fault.begins_at + origin, ends_at=fault.ends_at + origin)
-            for fault in plan.calls
-        ),
-    )
-
-
 async def _is_ready(port: int) -> bool:
     with contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(1.0):
--- a/cartweir/soak/shim.py
+++ b/cartweir/soak/shim.py
@@ -29,6 +29,7 @@
 MAX_KEPT_HEAD = 1024  # bytes of an incomplete head; a client's own has fewer
 PARENT_CHECK_INTERVAL = 1.0  # seconds
 STANDARD_ERROR = 2  # descriptor
+BEFORE_START = -1
 _REQUEST_ID = re.compile(rb"X-Request-ID: ([!-~]+)\r\n")
 
 
@@ -46,6 +47,7 @@
         self._counts: dict[str, itertools.count] = {}
         self._accepted: dict[int, bytes] = {}  # descriptors of clients' connections, and what a head lacks
         self._write = os.write
+        self._origin: int | None = None  # the clients' start; None until then
 
     def note(self, text: str) -> None:
         """Writes a line with the present time to the record."""
@@ -54,13 +56,22 @@
     def fault(self, call: str, allowed: Callable[[str], bool] = lambda error: True) -> str | None:
         """Returns the fault of this call, or None; counts the call."""
         number = next(self._counts.setdefault(call, itertools.count()))
-        now = monotonic()
+        now = self._elapsed()
         for fault in self.plan.calls:
             if fault.call == call and self._strikes(fault, now) and allowed(fault.error):
                 self.note(f"fault {call} {number} {fault.error}")
                 return fault.error
         return None
 
+    def _elapsed(self) -> int:
+        """Returns the microseconds since the clients' start; below 0 before."""
+        if self._origin is None:
+            try:
+                self._origin = int(Path(self.plan.origin_file).read_text())
+            except FileNotFoundError:
+                return BEFORE_START
+        return monotonic() - self._origin
+
     def _strikes(self, fault: CallFault, now: int) -> bool:
         return fault.begins_at <= now < fault.ends_at and self._random.random() < fault.share
 
@@ -72,7 +83,7 @@
     # ---- the clock ----
     def clock_offset(self) -> float:
         """Returns by how many seconds the wall clock has been stepped by now."""
-        now = monotonic()
+        now = self._elapsed()
         return sum(step.seconds for step in self.plan.steps if step.at <= now)
 
     def install_clock(self) -> None:
