Soak: four faults put into an agent on purpose are found by a run each

The oracle was asked about made-up records alone. soak/flaws.py forgets ids, lifts the limits on memory and on tiny chunks, or does not notice a client's close, in the agent's process by the shim; test_a_run_finds_a_flaw_... plays a run of 6 s with each and the same run without. Floods come again at once now (they paused for 50 ms), and an id comes again up to 0.3 s after its client left, as it met the open one before.

--- a/cartweir/soak/clients.py
+++ b/cartweir/soak/clients.py
@@ -18,6 +18,7 @@
 BODY = b"body"
 UNREAD = b"\r\n" * 50_000  # more than an agent reads at once: what some leave behind as they close
 UNREAD_SHARE = 0.5  # of the clients that leave
+MAX_REPEAT_DELAY = 0.3  # seconds
 REPEAT_SHARE = 0.5  # of the clients that leave, which ask again under the same id, though they must not
 
 # endings of a request
@@ -173,7 +174,8 @@
             await self._repeat(front, record)
 
     async def _repeat(self, front: Front, left: RequestRecord) -> None:
-        """Asks again under the id of a client that has left."""
+        """Asks again under the id of a client that has left, a little later."""
+        await asyncio.sleep(self._random.uniform(0, MAX_REPEAT_DELAY))
         life, connection = front.life, await front.connection()
         if connection is not None and life == left.life:
             record = replace(left, written_at=0, reused=connection.used, ending=SILENT, repeated=True)
--- a/cartweir/soak/plan.py
+++ b/cartweir/soak/plan.py
@@ -53,12 +53,14 @@
         calls: System calls that fail.
         origin_file: The file that appears as the clients start, with that time in microseconds of the
             monotonic clock; nothing fails before.
+        flaw: A fault that is put into the program itself (`flaws.py`); empty for none.
     """
 
     seed: int = 0
     steps: Sequence[ClockStep] = field(default=())
     calls: Sequence[CallFault] = field(default=())
     origin_file: str = ""
+    flaw: str = ""
 
     def write(self, path: Path) -> None:
         """Writes the plan to a file."""
@@ -73,6 +75,7 @@
             tuple(ClockStep(**step) for step in found["steps"]),
             tuple(CallFault(**fault) for fault in found["calls"]),
             found["origin_file"],
+            found["flaw"],
         )
 
 
--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -41,6 +41,7 @@
 REMOVED_AFTER = 2.0  # seconds from the announcement that a server leaves to its removal
 HALF_REQUEST_TIME = 3.0  # seconds within which a half request gets an error or a close
 HALF_REQUEST_SLACK = 0.3
+CROWD_PAUSE = 0.05  # seconds after which a crowd's connections come again; a flood comes at once
 MEASURE_INTERVAL = 0.05  # seconds
 CLOSING_TIME = 0.1  # seconds for connections to end before the loop does
 
@@ -390,6 +391,7 @@
             f"/{ORDER}/x",
             int(action.amount),
             action.seconds,
+            CROWD_PAUSE if crowd else 0.0,
         )
         result = await run_hostile_clients(plan)
         self._attacks[action.attack] += result.connections
--- a/cartweir/soak/shim.py
+++ b/cartweir/soak/shim.py
@@ -9,6 +9,7 @@
 
 import builtins
 import errno
+import importlib
 import itertools
 import os
 import random
@@ -230,6 +231,9 @@
     end_with_parent()
     plan, record, module = sys.argv[1:4]
     shim = Shim(ProcessPlan.read(Path(plan)), Path(record))
+    if shim.plan.flaw:
+        flaws = importlib.import_module("cartweir.soak.flaws")  # it loads the program
+        flaws.install(shim.plan.flaw)
     shim.install_clock()
     shim.install_sockets()
     shim.install_files()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,26 @@
 
 import pytest
 
+from cartweir.soak import run
 from cartweir.soak.appliance import ApplianceMake
 from cartweir.soak.clients import ANSWERED, ENDED, ISSUE, LEFT, ORDER, SILENT, VIEW, RequestRecord
-from cartweir.soak.hostile_plan import CROWDS, FLOODS
+from cartweir.soak.flaws import Flaw
+from cartweir.soak.hostile_plan import CROWDS, FLOODS, Attack
+from cartweir.soak.plan import ProcessPlan
 from cartweir.soak.platform import DOWN, UP, Listing, StageTold, Told
 from cartweir.soak.records import Attempt, ServerRecords
 from cartweir.soak.rules import MEGABYTE, AgentLife, Evidence, check_all
 from cartweir.soak.run import play
-from cartweir.soak.schedule import SECOND, WEIGHTS, Deployment, draw_schedule
+from cartweir.soak.schedule import (
+    HOSTILE_CROWD,
+    SECOND,
+    STALL_AGENTS,
+    WEIGHTS,
+    Action,
+    Deployment,
+    Schedule,
+    draw_schedule,
+)
 
 MS = 1000
 SECONDS = 10.0
@@ -25,6 +37,28 @@
     assert result.processes >= 10 and result.endings.get("answered 200", 0) > 100, result.text()
 
 
+HALF_CROWD = Action(1.0, HOSTILE_CROWD, (0,), 3.0, 300, Attack.HALF_REQUESTS)
+TINY_CROWD = Action(1.0, HOSTILE_CROWD, (0,), 3.0, 300, Attack.TINY_CHUNKS)
+STALLS = Action(1.0, STALL_AGENTS, (0,), 4.0)
+FLAWS = {  # what a run needs to find each: actions, clients that leave, and a word of the breach
+    Flaw.FORGOTTEN_IDS: ((), 0.5, "rule 2"),
+    Flaw.UNLIMITED_MEMORY: ((HALF_CROWD,), 0.0, "KB of 40 MB"),
+    Flaw.UNNOTICED_CLOSE: ((STALLS,), 0.5, "after it was left"),
+    Flaw.UNLIMITED_CHUNKS: ((TINY_CROWD,), 0.0, "rule 1"),
+}
+
+
+@pytest.mark.parametrize("flaw", FLAWS)
+def test_a_run_finds_a_flaw_that_is_put_into_an_agent_on_purpose(tmp_path, monkeypatch, flaw):
+    monkeypatch.setattr(run, "STALL_TIME", 0.4)  # in which clients leave much unread
+    actions, leaving, sign = FLAWS[flaw]
+    deployment = Deployment(agents=1, servers=3, load=0.5, mean_work=20_000, memory_mb=40, sockets=1024)
+    for folder, plans in (("flawed", [ProcessPlan(1, flaw=flaw)]), ("sound", ())):
+        result = play(Schedule(1, 6.0, deployment, actions, plans, leaving), tmp_path / folder)
+        found = [breach for breach in result.breaches if sign in str(breach)]
+        assert bool(found) == (folder == "flawed"), result.text()
+
+
 def test_a_seed_draws_the_same_run_each_time_and_all_kinds_of_faults_come():
     assert draw_schedule(7, 15.0) == draw_schedule(7, 15.0) != draw_schedule(8, 15.0)
     runs = [draw_schedule(seed, 15.0) for seed in range(60)]
