--- a/tests/test_clients_that_closed.py
+++ b/tests/test_clients_that_closed.py
@@ -12,6 +12,7 @@
 from node_process import node_process
 from peers import VIEW, Client, answer
 from test_calls import sockets
+from test_grpc_memory_limit import processes
 from test_processes import end, world
 
 UNREAD = b"\r\n" * 60_000  # more than a process reads at once
@@ -63,19 +64,23 @@
 
 
 @sockets
-async def test_calls_were_sent_on_after_their_client_had_closed_with_much_unread(tmp_path):
-    registry, appliances, process = await world(tmp_path, answer)
+@pytest.mark.parametrize("cores", [1, 2])
+async def test_calls_were_sent_on_after_their_client_had_closed_with_much_unread(tmp_path, cores):
+    registry, appliances, process = await world(tmp_path, answer, agent=f"cores = {cores}")
     client = await Client.connect(process.address)
     first = client.call(VIEW)
     await first.done.wait()
-    stop(process.process.pid)
+    pids = processes(process)
+    for pid in pids:
+        stop(pid)
     for _ in range(STREAMS):
         client.call(VIEW, body=b"\0\0\0\0\xff" + bytes(255))
     await client.peer.writer.drain()
     client.close()
     client.peer.writer.transport.abort()
     await asyncio.sleep(STOPPED)
-    os.kill(process.process.pid, signal.SIGCONT)
+    for pid in pids:
+        os.kill(pid, signal.SIGCONT)
     other = await Client.connect(process.address)
     await asyncio.sleep(SETTLED)
     last = other.call(VIEW)
