--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,10 +13,10 @@
 
 EARLIER, TRIAL = 4, 3  # appliances
 NEW_BUILD = 2
-RATE = 40.0  # requests a second
-KEYS = 200
+RATE = 60.0  # requests a second
+KEYS = 1000
 BEFORE, LOSSES, AFTER = 3.0, 6.0, 4.0  # seconds
-LOST_SHARE = 0.25  # of the answers of the build on trial
+LOST_SHARE = 0.3  # of the answers of the build on trial
 COUNTS_AFTER = 0.15 + 0.05  # seconds from the writing of a good answer
 
 
