--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -311,11 +311,15 @@
         play: Plays it.
         check: Returns each break of the rule, from the record.
     """
-    rig = Rig(Path(file).resolve().parent)
-    # A wait for all that was begun is bounded: whatever ends this process, no agent stays behind.
+    # Whatever ends this process but SIGKILL, no agent stays behind.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        rig = Rig(Path(file).resolve().parent)
+    except OSError as error:
+        print(f"the case could not run: {error}")
+        sys.exit(COULD_NOT_RUN)
     rig.record.text(f"disruption: {'yes' if rig.trouble else 'no (TROUBLE=0)'}")
-    code = COULD_NOT_RUN
+    code, verdict = COULD_NOT_RUN, "the case could not run"
     try:
         asyncio.run(_play(rig, play))
         for agent in rig.agents:
@@ -326,8 +330,8 @@
         for line in breaks:
             rig.record.text(f"BROKEN: {line}")
         verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
-    except (CannotRunError, OSError, TimeoutError) as error:
-        verdict = f"the case could not run: {error}"
+    except Exception as error:  # a fault of the case, or of the machine, says nothing of the rule
+        verdict = f"the case could not run: {type(error).__name__}: {error}"
     finally:
         rig.close()
     rig.record.text(verdict)
