Review: records, limits and fairness of the cases mended

Cause: read once more, the record of case 1 did not tell when the held answer arrived, the one of case 2 did not tell lost answers, and the cases left the naming of record.txt to the stand-ins. Change: each case names its record.txt; records have the settings, what appliances wrote, and what proxies held, passed on and lost. Case 2 loses answers of 3 of 15 appliances.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,10 @@
-"""Answers of a build on trial are lost on their way, and their keys go to the earlier build again."""
+"""Answers are lost on their way, and keys that a build on trial answered go to the earlier build again."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+from pathlib import Path
 
 from standins.appliances import Appliance
 from standins.clients import Clients, Load
@@ -11,12 +12,12 @@
 from standins.proxy import Proxy
 from standins.rig import Rig, make_settings, run_case
 
-EARLIER, TRIAL = 4, 3  # appliances
+EARLIER, TRIAL = 12, 3  # appliances
 NEW_BUILD = 2
 RATE = 60.0  # requests a second
 KEYS = 1000
 BEFORE, LOSSES, AFTER = 3.0, 6.0, 4.0  # seconds
-LOST_SHARE = 0.3  # of the answers of the build on trial
+LOST_SHARE = 0.3  # of the answers of the build on trial, a fifth of the appliances
 COUNTS_AFTER = 0.15 + 0.05  # seconds from the writing of a good answer
 
 
@@ -61,7 +62,7 @@
     answered: dict[str, float] = {}
     breaks = []
     for entry in rig.record.events:
-        if entry["event"] == "run" and entry["build"] == NEW_BUILD:
+        if entry["event"] == "answer_written" and entry["build"] == NEW_BUILD:
             answered.setdefault(entry["key"], entry["at"])
         elif entry["event"] == "attempt" and entry["build"] < NEW_BUILD:
             since = answered.get(entry["key"])
@@ -74,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play, check)
+    run_case(Path(__file__).with_name("record.txt"), play, check)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from pathlib import Path
 
 from standins.appliances import Appliance
 from standins.clients import Clients, Load
@@ -67,4 +68,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play, check)
+    run_case(Path(__file__).with_name("record.txt"), play, check)
--- a/review/standins/appliances.py
+++ b/review/standins/appliances.py
@@ -77,12 +77,20 @@
             id=request_id,
             key=self.known_ids[request_id],
             repeat_key=request.headers.get("idempotency-key", ""),
+            timeout=request.headers.get("x-timeout", ""),
         )
         await asyncio.sleep(self.service_time)
         self.rig.record.write(
             "run", appliance=self.name, build=self.build, id=request_id, key=self.known_ids[request_id]
         )
         await self.write_answer(writer, request_id, answer_body(self.name, request_id))
+        self.rig.record.write(
+            "answer_written",
+            appliance=self.name,
+            build=self.build,
+            id=request_id,
+            key=self.known_ids[request_id],
+        )
 
 
 def answer_body(name: str, request_id: str) -> bytes:
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -46,13 +46,23 @@
 
     def refuse_new(self, address: str) -> None:
         """Accepts no new connection at an address."""
+        self.rig.record.write("refuses_connections", at_address=address)
         self._servers[address].close()
 
     def close_open(self, address: str) -> None:
         """Closes the open connections of an address."""
+        self.rig.record.write("closes_connections", at_address=address)
         for writer in self._writers[address]:
             writer.close()
 
+    async def come_back(self, address: str) -> None:
+        """Accepts connections again at an address that refused them."""
+        host, port = address.split(":")
+        self._servers[address] = await asyncio.start_server(
+            lambda r, w: self._serve(address, r, w), host, int(port)
+        )
+        self.rig.record.write("accepts_connections", at_address=address)
+
     def whole(self) -> dict[str, Any]:
         """Returns the whole list."""
         entries = [entry for _, entry in self.entries.values() if entry["status"] != "removed"]
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 from collections.abc import Callable
 
@@ -63,16 +64,26 @@
             while data := await far_reader.read(READ_SIZE):
                 if not silent and self.lose(latest[0]):
                     silent = True
+                    self.rig.record.write("answer_lost", to=_name_of(latest[0]))
                 if silent:
                     continue
-                if (seconds := self.hold(latest[0])) > 0:
+                seconds = self.hold(latest[0])
+                if seconds > 0:
+                    self.rig.record.write("answer_held", answer=data.decode().strip())
                     await asyncio.sleep(seconds)
+                    self.rig.record.write("answer_passed_on", answer=data.decode().strip())
                 writer.write(data)
                 await writer.drain()
         if not silent:
             writer.close()
 
 
+def _name_of(request: bytes) -> str:
+    """Returns the id of a request, or its begin where it has none."""
+    found = re.search(rb"(?i)\r\nX-Request-ID: *(\S+)", request)
+    return (found[1] if found else request[:60]).decode("latin-1")
+
+
 class Cut:
     """The way to one address, which can be cut off and healed.
 
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -26,6 +26,15 @@
 LONGEST_RUN = 110.0  # seconds
 OK_STATUS = 200
 
+HEAD = """\
+Each line: seconds since the begin of the run, the event, its facts.
+sent: a client has written a request; answered: it has the whole answer. attempt: an appliance has the last
+byte of a request; run: it has done it; answer_written: its good answer is written. listed: discovery has a
+change; list_call: a call has come; list_told: an object is written to a watch; list_call_failed: the answer
+is written. news_written, vote, vote_answer_written, vote_refused: what the release service wrote and took.
+answer_held, answer_passed_on, answer_lost, cut, healed: what a proxy on the way did. After the run: each
+break of the rule, the agent's own log, and the verdict."""
+
 # exit codes of a case
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
@@ -207,6 +216,10 @@
                 ["/bin/sh", "-c", run_line], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
         self.rig.record.write("agent_started", agent=self.name, pid=self.process.pid)
+        known = self.configuration["known"]
+        self.rig.record.text(f"          its settings: {json.dumps(self.configuration['settings'])}")
+        self.rig.record.text(f"          its list: {json.dumps(known)}")
+        self.rig.record.text(f"          its news: {json.dumps(self.configuration['pipeline']['news'])}")
 
     async def ready(self) -> None:
         """Waits until the agent takes clients.
@@ -258,9 +271,9 @@
         closers: Called at the end.
     """
 
-    def __init__(self, case: Path) -> None:
+    def __init__(self, record: Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = Record(case / "record.txt")
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.agents: list[Agent] = []
         self.tasks: set[asyncio.Task] = set()
@@ -303,21 +316,22 @@
     await asyncio.gather(*rig.tasks, return_exceptions=True)
 
 
-def run_case(file: str, play: Play, check: Check) -> None:
+def run_case(record: Path, play: Play, check: Check) -> None:
     """Plays a case, checks its rule, and exits: 1 broken, 0 held, 2 could not run.
 
     Args:
-        file: The file of the case.
+        record: The file that tells what was sent, answered and run.
         play: Plays it.
         check: Returns each break of the rule, from the record.
     """
     # Whatever ends this process but SIGKILL, no agent stays behind.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        rig = Rig(Path(file).resolve().parent)
+        rig = Rig(record)
     except OSError as error:
         print(f"the case could not run: {error}")
         sys.exit(COULD_NOT_RUN)
+    rig.record.text(HEAD)
     rig.record.text(f"disruption: {'yes' if rig.trouble else 'no (TROUBLE=0)'}")
     code, verdict = COULD_NOT_RUN, "the case could not run"
     try:
