Review: the cases take their ports from below those of outgoing connections

Cause: of 50 runs, 25 at a time, two ended with 2: the agent could not listen, as its port had been given to an outgoing connection or another script between the look and the start. Change: free ports come from 20000 to 29999, for the agent and all stand-ins.

--- a/review/standins/appliances.py
+++ b/review/standins/appliances.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from .http import Message, read_message, response
-from .rig import LOOPBACK, OK_STATUS, Rig
+from .rig import LOOPBACK, OK_STATUS, Rig, free_port
 
 IDLE_TIME = 30.0  # seconds after which an idle connection is closed
 BAD_REQUEST, NOT_FOUND = 400, 404
@@ -35,7 +35,7 @@
 
     async def start(self) -> Appliance:
         """Listens at a free port."""
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        server = await asyncio.start_server(self._serve, LOOPBACK, free_port())
         self.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         return self
 
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from .http import read_message, response
-from .rig import LOOPBACK, OK_STATUS, Rig
+from .rig import LOOPBACK, OK_STATUS, Rig, free_port
 
 HEARTBEAT = 2.0  # seconds between empty lines on a watch
 CROWDED_WAIT = 2.0  # seconds that a call waits before a crowded discovery gives it up
@@ -39,7 +39,7 @@
     async def listen(self) -> str:
         """Listens at one more free port; returns the address."""
         address = ""
-        server = await asyncio.start_server(lambda r, w: self._serve(address, r, w), LOOPBACK, 0)
+        server = await asyncio.start_server(lambda r, w: self._serve(address, r, w), LOOPBACK, free_port())
         address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         self._servers[address], self._writers[address] = server, set()
         return address
@@ -147,7 +147,7 @@
 
     async def start(self) -> ReleaseService:
         """Listens at a free port."""
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        server = await asyncio.start_server(self._serve, LOOPBACK, free_port())
         self.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         self.rig.spawn(self._ping())
         return self
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Callable
 
-from .rig import LOOPBACK, Rig
+from .rig import LOOPBACK, Rig, free_port
 
 READ_SIZE = 1 << 16
 FILLERS = 4  # connections that fill the queue of a listener
@@ -32,7 +32,7 @@
 
     async def start(self) -> Proxy:
         """Listens at a free port."""
-        server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        server = await asyncio.start_server(self._serve, LOOPBACK, free_port())
         self.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         return self
 
@@ -94,7 +94,7 @@
     def __init__(self, rig: Rig, target: str) -> None:
         self.rig, self._target = rig, target.split(":")
         self._listener = socket.socket()
-        self._listener.bind((LOOPBACK, 0))
+        self._listener.bind((LOOPBACK, free_port()))
         self._listener.listen(1)
         self._listener.setblocking(False)
         self.address = f"{LOOPBACK}:{self._listener.getsockname()[1]}"
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -25,6 +25,8 @@
 END_WITHIN = 6.0  # seconds from SIGTERM until SIGKILL
 LONGEST_RUN = 110.0  # seconds
 OK_STATUS = 200
+PORTS = 20_000, 30_000  # no restart finds its port taken by an outgoing connection
+PORT_TRIES = 100
 
 HEAD = """\
 Each line: seconds since the begin of the run, the event, its facts.
@@ -78,11 +80,14 @@
         return [entry for entry in self.events if entry["event"] == event]
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Returns a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+def free_port() -> int:
+    """Returns a port that is free now, below those that the system gives to outgoing connections."""
+    for _ in range(PORT_TRIES):
+        with contextlib.suppress(OSError), socket.socket(socket.AF_INET) as sock:
+            port = random.randrange(*PORTS)
+            sock.bind((LOOPBACK, port))
+            return port
+    raise CannotRunError("no free port")
 
 
 def make_settings(**more: Any) -> dict[str, Any]:
