--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 NEW_BUILD = 2
 RATE = 60.0  # requests a second
 KEYS = 1000
-BEFORE, LOSSES, AFTER = 3.0, 6.0, 4.0  # seconds
+BEFORE, LOSSES, AFTER = 3.0, 5.9, 4.0  # seconds
 LOST_SHARE = 0.3  # of the answers of the build on trial, a fifth of the appliances
 COUNTS_AFTER = 0.15 + 0.05  # seconds from the writing of a good answer
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 
 APPLIANCES = 4
 RATE = 40.0  # requests a second
-BEFORE, CUT, AFTER = 3.0, 19.0, 5.0  # seconds
+BEFORE, CUT, AFTER = 3.0, 18.8, 5.0  # seconds
 DRAINED_AFTER = 0.5  # seconds from the begin of the cut
 COUNTS_AFTER = 6.0  # seconds from when the watch fell silent: what it misses counts as told
 GRACE = 2.0  # seconds, the setting drainGrace
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,7 +17,7 @@
 COUNTS_AFTER = 4.0  # seconds after SIGHUP: what discovery has to tell counts as told
 GRACE = 2.0  # seconds, the setting drainGrace
 SLACK = 0.05  # seconds by which each time limit is longer on sockets
-CROWDED_FOR = 9.0  # seconds from SIGHUP
+CROWDED_FOR = 8.0  # seconds from SIGHUP
 
 
 async def play(rig: Rig) -> None:
