Review case 2: the check gives a lower cap the grace of drains

Change: the check begins 2.2 s after the news (grace, 150 ms, 50 ms); discovery lists the drain after 4.2 s, where the site file has up to 4.3 s.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,10 +17,11 @@
 ANSWER_HELD = 0.19  # seconds; the site file has 36 to 200 ms for a call
 CHANGED_AFTER = 0.02  # seconds from the vote until the votes of other agents send the build back
 TOLD_AFTER = 0.12  # seconds from that change until it is told; the site file has 120 to 550 ms
-LISTED_AFTER = 3.0  # seconds from the same until discovery lists the build's appliances as draining
+LISTED_AFTER = 4.2  # seconds until discovery lists the build's appliances as draining; the site file: to 4.3
 VOTE_WITHIN = 30.0  # seconds
 SPAN = 4.0  # seconds, the setting span
-LOWER_CAP_BINDS_AFTER = 0.15 + 0.05  # seconds
+GRACE = 2.0  # seconds, the setting drainGrace
+LOWER_CAP_BINDS_AFTER = GRACE + 0.15 + 0.05  # seconds
 SPARE_TRIES = 1  # the setting spareTries
 SLACK_TRIES, SLACK_SHARE = 2, 0.04  # attempts, and what may be added to the cap
 
