--- a/review/4/case.py
+++ b/review/4/case.py
@@ -32,7 +32,7 @@
         discovery=way.address,
         pipeline={"address": service.address, "news": service.news()},
         known=discovery.whole(),
-        settings=make_settings(),
+        settings=make_settings(registryMode="pushed"),
     )
     agent.start()
     await agent.ready()
