--- a/review/standins/appliances.py
+++ b/review/standins/appliances.py
@@ -11,7 +11,7 @@
 from .rig import LOOPBACK, OK_STATUS, Rig, free_port
 
 IDLE_TIME = 30.0  # seconds after which an idle connection is closed
-BAD_REQUEST, NOT_FOUND = 400, 404
+BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
 
 
 class Appliance:
@@ -53,6 +53,11 @@
             "release": self.build,
         }
 
+    async def work(self) -> bool:
+        """Does the work of a request; returns whether it was done, False if it was turned away."""
+        await asyncio.sleep(self.service_time)
+        return True
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             with contextlib.suppress(OSError, TimeoutError):
@@ -79,7 +84,10 @@
             repeat_key=request.headers.get("idempotency-key", ""),
             timeout=request.headers.get("x-timeout", ""),
         )
-        await asyncio.sleep(self.service_time)
+        if not await self.work():
+            self.rig.record.write("turned_away", appliance=self.name, build=self.build, id=request_id)
+            writer.write(response(UNAVAILABLE, X_Not_Processed="1"))
+            return
         self.rig.record.write(
             "run", appliance=self.name, build=self.build, id=request_id, key=self.known_ids[request_id]
         )
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -31,12 +31,12 @@
 HEAD = """\
 Each line: seconds since the begin of the run, the event, its facts.
 sent: a client has written a request; answered: it has the whole answer. attempt: an appliance has the last
-byte of a request; run: it has done it; answer_written: its good answer is written. listed: discovery has a
-change; list_call: a call has come; list_told: an object is written to a watch; list_call_failed: the answer
-is written. news_written, vote, vote_answer_written, vote_refused: what the release service wrote and took.
-answer_held, answer_passed_on, answer_lost, cut, healed: what a proxy on the way did. bad_sent: a bad client
-has written a part of a request; bad_turned_away: its connection has ended. After the run: each break of the
-rule, the agent's own log, and the verdict."""
+byte of a request; run: it has done it; turned_away: its queue is full; answer_written: its good answer is
+written. listed: discovery has a change; list_call: a call has come; list_told: an object is written to a
+watch; list_call_failed: the answer is written. news_written, vote, vote_answer_written, vote_refused: what
+the release service wrote and took. answer_held, answer_passed_on, answer_lost, cut, healed: what a proxy on
+the way did. bad_sent: a bad client has written a part of a request; bad_turned_away: its connection has
+ended. After the run: each break of the rule, the agent's own log, and the verdict."""
 
 # exit codes of a case
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
