--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -25,8 +25,8 @@
 END_WITHIN = 6.0  # seconds from SIGTERM until SIGKILL
 LONGEST_RUN = 110.0  # seconds
 OK_STATUS = 200
-PORTS = 20_000, 30_000  # no restart finds its port taken by an outgoing connection
-PORT_TRIES = 100
+# Below those of outgoing connections, so that no restart finds its port taken; scripts side by side differ.
+FIRST_PORT, PORT_GROUPS, GROUP_SIZE = 20_000, 50, 200
 
 HEAD = """\
 Each line: seconds since the begin of the run, the event, its facts.
@@ -81,12 +81,17 @@
         return [entry for entry in self.events if entry["event"] == event]
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Returns a port that is free now, below those that the system gives to outgoing connections."""
-    for _ in range(PORT_TRIES):
+    """Returns a port that is free now, and that this script has not been given before."""
+    first = FIRST_PORT + os.getpid() % PORT_GROUPS * GROUP_SIZE
+    ports = [port for port in range(first, first + GROUP_SIZE) if port not in _given_ports]
+    for port in random.sample(ports, len(ports)):
         with contextlib.suppress(OSError), socket.socket(socket.AF_INET) as sock:
-            port = random.randrange(*PORTS)
             sock.bind((LOOPBACK, port))
+            _given_ports.add(port)
             return port
     raise CannotRunError("no free port")
 
