--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,12 +12,13 @@
 from standins.proxy import Proxy
 from standins.rig import Rig, make_settings, run_case
 
-EARLIER, TRIAL = 12, 3  # appliances
+EARLIER, TRIAL = 12, 4  # appliances; the second stage has 35% of the places
+LOSING = 3  # of those on trial, under a fifth of all
 NEW_BUILD = 2
 RATE = 60.0  # requests a second
 KEYS = 1000
 BEFORE, LOSSES, AFTER = 3.0, 5.9, 4.0  # seconds
-LOST_SHARE = 0.3  # of the answers of the build on trial, a fifth of the appliances
+LOST_SHARE = 0.3  # of the answers of these
 COUNTS_AFTER = 0.15 + 0.05  # seconds from the writing of a good answer
 
 
@@ -29,7 +30,7 @@
         for number in range(EARLIER + TRIAL)
     ]
     losing = asyncio.Event()
-    for appliance in appliances[EARLIER:]:
+    for appliance in appliances[EARLIER : EARLIER + LOSING]:
         way = await Proxy(rig, appliance.address).start()
         way.lose = lambda request: losing.is_set() and random.random() < LOST_SHARE
         appliance.address = way.address
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -42,17 +42,19 @@
         self._held = 0
         self._slots = asyncio.Semaphore(SLOTS)
 
-    async def work(self) -> bool:
-        """Waits for a slot and does the work of a request; returns False if the queue is full."""
+    async def work(self, left: float) -> bool:
+        """Waits for a slot and does the work; returns False if the queue is full or the time is over."""
+        until = self.rig.record.now() + left
         if self._held >= SLOTS + QUEUE:
             return False
         self._held += 1
         try:
             async with self._slots:
-                await super().work()
+                if self.rig.record.now() > until:
+                    return False
+                return await super().work(left)
         finally:
             self._held -= 1
-        return True
 
 
 async def play(rig: Rig) -> None:
--- a/review/standins/appliances.py
+++ b/review/standins/appliances.py
@@ -11,6 +11,7 @@
 from .rig import LOOPBACK, OK_STATUS, Rig, free_port
 
 IDLE_TIME = 30.0  # seconds after which an idle connection is closed
+LONGEST_TIME = 60.0  # seconds, for a request that tells none
 BAD_REQUEST, NOT_FOUND, UNAVAILABLE = 400, 404, 503
 
 
@@ -53,8 +54,12 @@
             "release": self.build,
         }
 
-    async def work(self) -> bool:
-        """Does the work of a request; returns whether it was done, False if it was turned away."""
+    async def work(self, left: float) -> bool:
+        """Does the work of a request; returns whether it was done, False if it was turned away.
+
+        Args:
+            left: Seconds until its time is over.
+        """
         await asyncio.sleep(self.service_time)
         return True
 
@@ -84,7 +89,7 @@
             repeat_key=request.headers.get("idempotency-key", ""),
             timeout=request.headers.get("x-timeout", ""),
         )
-        if not await self.work():
+        if not await self.work(_seconds_left(request)):
             self.rig.record.write("turned_away", appliance=self.name, build=self.build, id=request_id)
             writer.write(response(UNAVAILABLE, X_Not_Processed="1"))
             return
@@ -101,6 +106,12 @@
         )
 
 
+def _seconds_left(request: Message) -> float:
+    """Returns for how many seconds the agent waits, as it tells in microseconds."""
+    text = request.headers.get("x-timeout", "").removesuffix("u")
+    return int(text) / 1e6 if text.isdigit() else LONGEST_TIME
+
+
 def answer_body(name: str, request_id: str) -> bytes:
     """Returns the body that an appliance makes for a request."""
     return f"answer of {name} to {request_id}".encode()
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -83,9 +83,12 @@
         lines += [f"X-Route-Key: {key}"] if key else []
         body = b"order" if operation == "order" else b""
         lines += [f"Idempotency-Key: {uuid.uuid4().hex}", f"Content-Length: {len(body)}"] if body else []
-        self.rig.record.write("sent", agent=self.agent.name, id=request_id, operation=operation, key=key)
+        timeout = f"{self.load.time_limit}m"
         try:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            self.rig.record.write(
+                "sent", agent=self.agent.name, id=request_id, operation=operation, key=key, timeout=timeout
+            )
             answer = await read_message(reader)
         except BaseException:
             writer.close()
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -150,6 +150,7 @@
         server = await asyncio.start_server(self._serve, LOOPBACK, free_port())
         self.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
         self.rig.spawn(self._ping())
+        self.rig.spawn(self._repeat())
         return self
 
     def news(self) -> dict[str, Any]:
@@ -162,9 +163,9 @@
         self._tell_again()
 
     def _tell_again(self) -> None:
+        self._told = self.rig.record.now()
         if self.silent:
             return
-        self._told = self.rig.record.now()
         for writer in self._listeners:
             self._tell_one(writer)
 
@@ -178,11 +179,18 @@
             await asyncio.sleep(PING)
             if self.silent:
                 continue
-            if self.rig.record.now() >= self._told + REPEAT:
-                self._tell_again()
             for writer in self._listeners:
                 _write_line(writer, {"jsonrpc": "2.0", "method": "ping"})
 
+    async def _repeat(self) -> None:
+        while True:
+            wait = self._told + REPEAT - self.rig.record.now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            else:
+                self._tell_again()
+                await asyncio.sleep(0)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             with contextlib.suppress(OSError):
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -30,13 +30,15 @@
 
 HEAD = """\
 Each line: seconds since the begin of the run, the event, its facts.
-sent: a client has written a request; answered: it has the whole answer. attempt: an appliance has the last
-byte of a request; run: it has done it; turned_away: its queue is full; answer_written: its good answer is
-written. listed: discovery has a change; list_call: a call has come; list_told: an object is written to a
-watch; list_call_failed: the answer is written. news_written, vote, vote_answer_written, vote_refused: what
-the release service wrote and took. answer_held, answer_passed_on, answer_lost, cut, healed: what a proxy on
-the way did. bad_sent: a bad client has written a part of a request; bad_turned_away: its connection has
-ended. After the run: each break of the rule, the agent's own log, and the verdict."""
+sent: a client has written a request, on a connection that has come up, and waits for as long as its timeout
+says and 0.6 s more; answered: it has the whole answer; unanswered: it has left without. attempt: an appliance
+has the last byte of a request; run: it has done it; turned_away: its queue is full, or the time of the
+request is over; answer_written: its good answer is written. listed: discovery has a change; list_call: a
+call has come; list_told: an object is written to a watch; list_call_failed: the answer is written.
+news_written, vote, vote_answer_written, vote_refused: what the release service wrote and took. answer_held,
+answer_passed_on, answer_lost, cut, healed: what a proxy on the way did. bad_sent: a bad client has written a
+part of a request; bad_turned_away: its connection has ended. After the run: each break of the rule, the
+agent's own log, and the verdict."""
 
 # exit codes of a case
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
@@ -307,9 +309,10 @@
         """Ends all processes, and removes the temporary files."""
         for agent in self.agents:
             agent.end()
-            if agent.log.exists():
-                self.record.text(f"--- log of {agent.name} ---")
-                self.record.text(agent.log.read_text(errors="replace").rstrip())
+        for agent in self.agents:
+            with contextlib.suppress(OSError):
+                log = agent.log.read_text(errors="replace").rstrip()
+                self.record.text(f"--- log of {agent.name} ---\n{log}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -336,16 +339,17 @@
         check: Returns each break of the rule, from the record.
     """
     # Whatever ends this process but SIGKILL, no agent stays behind.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         rig = Rig(record)
     except OSError as error:
         print(f"the case could not run: {error}")
         sys.exit(COULD_NOT_RUN)
-    rig.record.text(HEAD)
-    rig.record.text(f"disruption: {'yes' if rig.trouble else 'no (TROUBLE=0)'}")
     code, verdict = COULD_NOT_RUN, "the case could not run"
     try:
+        rig.record.text(HEAD)
+        rig.record.text(f"disruption: {'yes' if rig.trouble else 'no (TROUBLE=0)'}")
         asyncio.run(_play(rig, play))
         for agent in rig.agents:
             if agent.process.poll() is not None:
@@ -359,6 +363,9 @@
         verdict = f"the case could not run: {type(error).__name__}: {error}"
     finally:
         rig.close()
-    rig.record.text(verdict)
+    try:
+        rig.record.text(verdict)
+    except OSError as error:  # a record that cannot be written tells nothing
+        code, verdict = COULD_NOT_RUN, f"the case could not run: {error}"
     print(verdict)
     sys.exit(code)
