A late answer to a vote no longer undoes newer news of its build

Cause: notifications and each vote have connections of their own, and Agent.on_stage put any state that arrived in place of the one it held. An answer written before the news, and 190 ms on its way, brought the old cap back; around a release it also unbound one-way keys.

Change: states of roll-outs have an order (cartweir/logic/rollout_order.py). A message on an earlier state is not followed within 5 s after the present one was first told; it is logged as stage_outdated with its source. Why this works: within a roll-out states only go forward, so the order tells an overtaken message whatever the delays; the age in a message does not, as it lacks the time on the way. The 5 s let a release service that was itself set back be followed.

--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -408,15 +408,22 @@
     @answers_broken_invocations
     def apply_stage(self, stage: Stage) -> None:
         """Applies a stage of the newest build or the answer to a vote; logs the stage if it is new."""
-        if stage.vote_answer in (None, "ok") and self._logged_stage != (stage.identity, stage.cap):
-            self._logged_stage = (stage.identity, stage.cap)
-            self.environment.log_event(
-                "stage", build=stage.build, stage=stage.number, phase=stage.phase, cap=stage.cap
-            )
         self.catch_up()
-        self.engine.agent.on_stage(stage)
+        followed = self.engine.agent.on_stage(stage)
+        if stage.vote_answer in (None, "ok"):
+            self._log_stage(stage, followed)
         self.engine.resume_woken()
 
+    def _log_stage(self, stage: Stage, followed: bool) -> None:
+        """Logs a stage that is new, and one that came too late to be followed."""
+        fields = {"build": stage.build, "stage": stage.number, "phase": stage.phase, "cap": stage.cap}
+        if not followed:
+            source = "notification" if stage.vote_answer is None else "vote"
+            self.environment.log_event("stage_outdated", source=source, age_ms=stage.age // 1000, **fields)
+        elif self._logged_stage != (stage.identity, stage.cap):
+            self._logged_stage = (stage.identity, stage.cap)
+            self.environment.log_event("stage", **fields)
+
     @answers_broken_invocations
     def apply_tally(self, tally: Tally) -> None:
         """Applies the counts of a build's answers that the conveyor reports."""
--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -45,6 +45,7 @@
 from .health import MAX_UNANSWERED, eject, record_answer, record_outcome
 from .list_lease import ListLease
 from .overload import adjust_concurrency_limit, raise_limit_to_fleet, retry_advice
+from .rollout_order import is_outdated, rollout_place
 from .selection import CHOICES, MOST_AVOIDED, load_score, preferred, to_probe
 from .slow_start import SlowStart, warmth
 from .subscription import ListSubscription
@@ -169,13 +170,21 @@
         self.usual_weight = max(sum(a.weight for a in side) for side in bearing) or 1.0
 
     # ---- the roll-out of the newest build ----
-    def on_stage(self, stage: Stage) -> None:
-        """Takes a message on the newest build, or the answer to a vote."""
+    def on_stage(self, stage: Stage) -> bool:
+        """Takes a message on the newest build, or the answer to a vote.
+
+        Returns:
+            Whether the state that it tells is followed: it came with a message that is not outdated.
+        """
         old, settings = self.stage, self.settings
         if stage.vote_answer not in (None, "ok"):  # the other fields of a refusal say nothing
             if stage.vote_answer != OBSOLETE:
                 self.voting.recast(self.current_vote, stage.vote_answer == FULL)
-            return
+            return False
+        if is_outdated(self, stage):
+            return False
+        if old is None or rollout_place(stage) != rollout_place(old):
+            self.stage_told_at = self.host.now
         self.stage = stage
         self._regroup()
         new_build = old is None or stage.build != old.build
@@ -193,6 +202,7 @@
             self.is_voter = draw_voter(self)
             self._look_at_evidence(stage)
             self.wake_held()
+        return True
 
     def _look_at_evidence(self, stage: Stage) -> None:
         """Looks at the evidence, and again at intervals while the stage lasts."""
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -215,6 +215,7 @@
         usual_weight: weight of the appliances that bear the usual traffic.
         stage: the newest build's stage; None before the first message.
         stage_since: when the stage began.
+        stage_told_at: when its present state was first told.
         expected_trial_appliances: how many appliances the stage is to have.
         undecided_since: when evidence was first undecided in this stage; 0 if it was not.
         current_vote: build, stage and verdict of the vote that stands or is about to be cast.
@@ -255,6 +256,7 @@
     usual_weight: float = 1.0
     stage: Stage | None = None
     stage_since: int = 0
+    stage_told_at: int = 0
     expected_trial_appliances: float = 0.0
     undecided_since: int = 0
     current_vote: tuple | None = None
