A key that a build without news has answered no longer goes to the released build

Cause: while the newest build with news is released, within_limits asked for that build alone and overruled the build that the key is bound to.

Change: the newer of the two counts. This works as the bond alone tells which builds answered.

--- a/cartweir/logic/exposure.py
+++ b/cartweir/logic/exposure.py
@@ -62,7 +62,8 @@
                 )
             )
         )
-        return appliance.build >= (stage.build if newest_only else state.bound_keys.get(invocation.key, 0))
+        bound_build = state.bound_keys.get(invocation.key, 0)
+        return appliance.build >= (max(stage.build, bound_build) if newest_only else bound_build)
     if _would_bind_too_many(state, invocation):
         return False
     number = stage.number if runs_newest_build(state, appliance) else 0
