A key whose answer may be lost stays with the new build while its dispatch is out

Cause: within_limits took a key for possibly answered only once its dispatch had been out for 0.6 of the SLO time.

Change: while a dispatch is out at a build that binds its key, no other with the key goes to an earlier build (cartweir/logic/one_way_keys.py, cut out of agent.py and exposure.py).

MAX_BOUND_KEYS has moved, and with it the one line of test_decisions.py that patches it.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from ..interface import (
-    CANCELLED,
     ERROR,
     FINGERPRINTED,
     FULL,
@@ -17,10 +16,8 @@
     OBSOLETE,
     ON_TRIAL,
     READY,
-    RESET,
     SIDE_EFFECTING,
     SUCCEEDED,
-    TIMEOUT,
     UNCONNECTED,
     ActionGenerator,
     Appliance,
@@ -44,6 +41,15 @@
 from .exposure import make_budgets, within_limits
 from .health import MAX_UNANSWERED, eject, record_answer, record_outcome
 from .list_lease import ListLease
+from .one_way_keys import (
+    binds_key,
+    bound_share,
+    lowest_build,
+    one_way_key,
+    record_dispatch,
+    record_key_outcome,
+    share_of_others,
+)
 from .overload import adjust_concurrency_limit, raise_limit_to_fleet, retry_advice
 from .rollout_order import is_outdated, rollout_place
 from .selection import CHOICES, MOST_AVOIDED, load_score, preferred, to_probe
@@ -122,7 +128,7 @@
 
     def binds_key(self, appliance: Appliance) -> bool:
         """Returns whether an answer of the appliance binds a one-way key."""
-        return bool(self.stage) and appliance.build >= self.stage.build + (self.stage.phase != ON_TRIAL)
+        return binds_key(self, appliance.build)
 
     # ---- the list of appliances ----
     def on_list(self, status: str, changed: list[Appliance], waited: int | None = 0) -> None:
@@ -233,9 +239,8 @@
         self.open_dispatches -= 1
         self.succeeded += result == SUCCEEDED
         record_outcome(self, outcome)
-        key = dispatch.invocation.key if self.settings["one_way"] else None
-        if key:
-            self._record_key(key, outcome)
+        if (key := one_way_key(self, dispatch.invocation)) is not None:
+            record_key_outcome(self, key, outcome)
         if dispatch.appliance.decision_state.unanswered_count > MAX_UNANSWERED:
             eject(self, dispatch.appliance, result)
         self.evidence.observe(outcome)
@@ -244,17 +249,6 @@
         adjust_concurrency_limit(self, outcome)
         self.wake_held()
 
-    def _record_key(self, key: str, outcome: Outcome) -> None:
-        """Records that a dispatch with a one-way key has ended."""
-        dispatch, appliance = outcome.dispatch, outcome.dispatch.appliance
-        (sent := self.keys_out[key, appliance.build]).remove(dispatch.sent)
-        if not sent:
-            del self.keys_out[key, appliance.build]
-        # guards against answers that were given but never read
-        unread = outcome.result in (RESET, TIMEOUT, CANCELLED)
-        if (outcome.result == SUCCEEDED or unread) and self.binds_key(appliance):
-            self.bound_keys[key] = appliance.build
-
     def on_probe(self, appliance: Appliance, answered: bool, duration: int, load: Mapping | None) -> None:
         """Takes the result of a probe. One without an answer ejects nothing: it only makes probes rarer."""
         self.probe_answer_share += (answered - self.probe_answer_share) / PROBE_MEMORY
@@ -333,14 +327,15 @@
         if on_trial and self.settings["one_way"]:  # the cap holds in any short span, and keys come in bursts
             part = min(part, KEY_PART * self.stage.cap)
         # A key that the trial answers binds all later invocations with it, which must fit the trial's part.
-        bound = invocation.key in self.bound_keys
-        bound_share = sum(map(self.bound_keys.__contains__, self.recent_keys)) / (len(self.recent_keys) + 1)
+        key = one_way_key(self, invocation)
+        bound = key is not None and lowest_build(self, key) > 0
+        share = bound_share(self) if on_trial else 0.0
         if not tried and (earned := self.slow_start.earned()):
             room = on_trial and (
-                bound or bound_share < min(part + self.slow_start.rate / 2, KEY_PART * self.stage.cap)
+                bound or share < min(part + self.slow_start.rate / 2, KEY_PART * self.stage.cap)
             )
             sides.insert(0, [a for a in earned if room or exposure_cap(self, a) is None])
-        elif not tried and on_trial and (bound or self.trial_deficit >= 1):
+        elif not tried and on_trial and (bound or self._trial_is_due(key, part - share)):
             sides.reverse()
         choices = (
             self._draw(invocation, side, skip) for skip in ((tried, []) if tried else ([],)) for side in sides
@@ -349,10 +344,20 @@
         if found and on_trial and not tried and not bound:
             # counted, not drawn: of two dispatches drawn in a row one has no room under the cap
             used = self.trial_deficit >= 1 and exposure_cap(self, found[0]) is not None
-            earned = max(0.0, part - bound_share) / (1 - bound_share)
+            earned = max(0.0, part - share) / (1 - share)
             self.trial_deficit = min(self.trial_deficit + earned, MAX_TRIAL_DEFICIT) - used
         return found
 
+    def _trial_is_due(self, key: str | None, room: float) -> bool:
+        """Returns whether the build on trial should get an invocation whose key is free.
+
+        A key that comes too often for the room left in the trial's part waits for a rarer one, unless none
+        comes.
+        """
+        if self.trial_deficit < 1 or key is None:
+            return self.trial_deficit >= 1
+        return self.trial_deficit >= MAX_TRIAL_DEFICIT or share_of_others(self, key) <= room
+
     # ---- invocations: hold, dispatch, final answer ----
     def wake_held(self) -> None:
         """Wakes held invocations that may now be dispatched: the highest value first, then the oldest."""
@@ -366,8 +371,8 @@
         self.slow_start.earn()
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRIES_PER_INVOCATION)
         self.exposure_budgets[operation].take(host.now)
-        if settings["one_way"] and invocation.key:
-            self.recent_keys.append(invocation.key)
+        if (key := one_way_key(self, invocation)) is not None:
+            self.recent_keys.append(key)
         end = invocation.deadline - 2 * settings["tick"]  # rule 1: the last moment for our answer
         useful = end if operation.late_value > 0 else min(end, invocation.arrived_at + operation.slo_time)
         # in overload, what is worth most goes first
@@ -455,8 +460,8 @@
         dispatch = Dispatch(appliance, max(timeout, MIN_TIMEOUT), until)
         if exposure_cap(self, appliance) is not None:
             dispatch.decision_state = budget.add(self.host.now)
-        if self.settings["one_way"] and invocation.key:
-            self.keys_out.setdefault((invocation.key, appliance.build), []).append(self.host.now)
+        if (key := one_way_key(self, invocation)) is not None:
+            record_dispatch(self, key, appliance.build)
         return dispatch
 
     def may_send(self, dispatch: Dispatch) -> bool:
--- a/cartweir/logic/exposure.py
+++ b/cartweir/logic/exposure.py
@@ -6,9 +6,7 @@
 from ..state import AgentState
 from ..window import WindowBudget
 from .builds import exposure_cap, runs_newest_build
-
-MAX_BOUND_KEYS = 20_000
-UNREAD_AFTER = 0.6  # of the SLO time: a dispatch outstanding for longer may have been answered unread
+from .one_way_keys import lowest_build, one_way_key, would_bind_too_many
 
 
 def make_budgets(state: AgentState) -> dict[Operation, WindowBudget]:
@@ -22,51 +20,26 @@
     }
 
 
-def _would_bind_too_many(state: AgentState, invocation: Invocation) -> bool:
-    """Returns whether a build on trial would bind one more key than may be remembered.
-
-    Such an invocation goes to the earlier build, while there is one.
-    """
-    return bool(
-        state.settings["one_way"]
-        and invocation.key
-        and len(state.bound_keys) >= MAX_BOUND_KEYS
-        and invocation.key not in state.bound_keys
-        and not state.earlier_build_gone
-    )
-
-
 def within_limits(state: AgentState, invocation: Invocation, appliance: Appliance) -> bool:
     """Returns whether exposure and one-way keys allow the invocation to go to this appliance."""
     stage, cap = state.stage, exposure_cap(state, appliance)
-    if (
-        cap is None
-        and state.bound_keys_incomplete
-        and invocation.key
-        and (stage is None or stage.phase == ON_TRIAL)
-    ):
-        return False  # the trial may have answered it
+    key = one_way_key(state, invocation)
+    if key is not None and appliance.build < lowest_build(state, key):
+        return False
     if cap is None:
-        # A released build may have answered any key: an earlier appliance that is late gets none.
-        newest_only = (
-            state.settings["one_way"]
-            and invocation.key
-            and stage
-            and (
-                stage.phase == RELEASED
-                or (
-                    stage.phase == ON_TRIAL
-                    and state.host.now
-                    > UNREAD_AFTER * invocation.operation.slo_time
-                    + min(state.keys_out.get((invocation.key, stage.build), ()), default=state.host.now)
-                )
-            )
-        )
-        bound_build = state.bound_keys.get(invocation.key, 0)
-        return appliance.build >= (max(stage.build, bound_build) if newest_only else bound_build)
-    if _would_bind_too_many(state, invocation):
+        return key is None or _may_get_any_key(state, appliance)
+    if would_bind_too_many(state, key):
         return False
     number = stage.number if runs_newest_build(state, appliance) else 0
     return state.exposure_budgets[invocation.operation].room(state.host.now, cap) and (
         invocation.operation.effect == IDEMPOTENT or number >= state.settings["guarded_stages"]
     )
+
+
+def _may_get_any_key(state: AgentState, appliance: Appliance) -> bool:
+    """Returns whether no newer build can have answered a key unknown to this agent."""
+    stage = state.stage
+    if stage is None or stage.phase == ON_TRIAL:
+        return not state.bound_keys_incomplete
+    # a released build may have answered any key: an earlier appliance that is late gets none
+    return stage.phase != RELEASED or appliance.build >= stage.build
--- a/cartweir/state.py
+++ b/cartweir/state.py
@@ -230,7 +230,7 @@
         exposure_budgets: for each operation, the budget of sends to a build on trial.
         recent_keys: one-way keys of the latest invocations.
         trial_deficit: dispatches that the trial's share comes to, less those that it got.
-        keys_out: for a key and a build, when the outstanding dispatches were sent.
+        keys_out: for a one-way key, the builds of its outstanding dispatches.
         held: invocations that wait for a dispatch to be allowed.
         open_dispatches: own dispatches that are outstanding.
         concurrency_limit: bound on them.
@@ -271,7 +271,7 @@
     exposure_budgets: dict[Operation, WindowBudget] = field(default_factory=dict)
     recent_keys: deque[str] = field(default_factory=lambda: deque(maxlen=128))
     trial_deficit: float = 0.0
-    keys_out: dict[tuple, list[int]] = field(default_factory=dict)
+    keys_out: dict[str, list[int]] = field(default_factory=dict)
     held: list[Invocation] = field(default_factory=list)
     open_dispatches: int = 0
     concurrency_limit: float = 0.0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,7 +10,7 @@
 from helpers import DRAINING, MS, S, Scene
 
 from cartweir.interface import CANCELLED, ERROR, FULL, GOING_BACK, RESET, TIMEOUT, UNCONNECTED, Tally
-from cartweir.logic import exposure
+from cartweir.logic import one_way_keys
 from cartweir.window import WindowBudget
 
 EARLIER, TRIAL = [f"old{n}" for n in range(8)], ["new0", "new1"]
@@ -139,7 +139,7 @@
 
 def test_bound_keys_grew_without_end_under_ever_new_names(monkeypatch):
     """Keys beyond the limit go to the earlier build, while there is one."""
-    monkeypatch.setattr(exposure, "MAX_BOUND_KEYS", 3)
+    monkeypatch.setattr(one_way_keys, "MAX_BOUND_KEYS", 3)
     scene = Scene(one_way=True, free=100.0)
     scene.list("old0")
     scene.list("new0", build=2)
