A node that is cut off from discovery no longer sends by its list for the whole cut

Cause: every connection to discovery that failed counted as "discovery is down", also one that never came up or failed in this process; and ListLease.update renewed the lease at each such sign, also after a silence in which discovery ran on.

Change: only discovery's host shows that it is down, by refusing a connection or ending a watch; all else is silence. After a silence only a list or a heartbeat renews the lease. Why this works: what was announced in the silence is missing from the list, whatever is seen later.

--- a/cartweir/logic/list_lease.py
+++ b/cartweir/logic/list_lease.py
@@ -16,20 +16,24 @@
 class ListLease:
     """Says whether the list of appliances may be relied on.
 
-    A change counts as announced once discovery could be reached for `ANNOUNCED_WITHIN` while it had the
-    change, whether the message arrived or not. So the lease ends that long, and the grace of a drain, after
-    discovery fell silent.
+    A change counts as announced `ANNOUNCED_WITHIN` after a watch fell silent, or once discovery could be
+    reached for so long while it had the change, whether the message arrived or not. So the lease ends that
+    long, and the grace of a drain, after discovery fell silent.
+
+    While discovery is down it announces nothing. A sign that it is down renews the lease, but only if the
+    list held all that had been announced before: not after a silence in which discovery may have been
+    running.
 
     Attributes:
         term: length of the lease.
         silent_since: when discovery fell silent; None if it sends something, or has not been missed yet.
-        age_known: False for a list that a new process was given.
+        complete: the list has all that was announced before discovery went down.
     """
 
     def __init__(self, drain_grace: int) -> None:
         self.term = ANNOUNCED_WITHIN + drain_grace - LEASE_MARGIN
         self.silent_since: int | None = None
-        self.age_known = True
+        self.complete = True
 
     def update(self, status: str, now: int, waited: int | None) -> None:
         """Takes note of the result of a request for the list.
@@ -39,17 +43,17 @@
             now: the present time.
             waited: without an answer, how long one was waited for; None if unknown.
         """
-        if status not in (UNREACHABLE, UNANSWERED):
-            self.silent_since, self.age_known = None, True
-        elif status == UNREACHABLE and self.silent_since is None:
+        if status == UNANSWERED:
+            if self.silent_since is None:
+                self.silent_since = now - (ANNOUNCED_WITHIN if waited is None else waited)
+            self.complete = False
+        elif status != UNREACHABLE:
+            self.silent_since, self.complete = None, True
+        elif self.silent_since is None:
             # it announces nothing while it is gone, and is not back at once
             self.silent_since = now + RESTART_TIME
-        elif status == UNREACHABLE and self.age_known:
-            # not for a list of unknown age: its lease is not extended
+        elif self.complete:
             self.silent_since = max(now, self.silent_since)
-        elif status == UNANSWERED and self.silent_since is None:
-            self.silent_since = now - (ANNOUNCED_WITHIN if waited is None else waited)
-            self.age_known = waited is not None
 
     def holds(self, now: int) -> bool:
         """Returns whether the list may be relied on.
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -2,14 +2,16 @@
 
 There is one connection at a time, except while a new address takes over from an old one. Each failure is
 reported to the decisions with its kind, since kinds differ in whether the list may still be relied on:
-unreachable discovery has announced nothing to anybody, while discovery that may be running and gave no answer
-may hold changes that count as announced. A call that fails late looks the same whether discovery is down or
-has too many callers; a watch that breaks off shows that discovery is down.
+discovery that is down has announced nothing to anybody, while discovery that may be running and gave no
+answer may hold changes that count as announced. A call that fails late looks the same whether discovery is
+down or has too many callers. Discovery is down where its host refuses connections, or ends a watch. A watch
+that falls silent and a connection that never comes up show nothing: this agent may be cut off.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -32,6 +34,9 @@
 ANSWER_TIMEOUT = 4_000_000  # discovery works through calls in turn, and a caller that gives up queues again
 HEARTBEAT_TIMEOUT = 2_800_000  # an empty line is expected every 2 s
 REFUSAL_TIME = 250_000  # a connection that ends sooner without a byte was refused, not worked through
+# By which the other host shows that discovery is not running there. All other errors may be of the way to it,
+# or of this process.
+ENDED_BY_HOST = frozenset((errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE))
 MAX_LIST_BYTES = 16 * 1024 * 1024
 MAX_LOGGED_REASON = 200  # characters
 
@@ -45,8 +50,8 @@
     """A call to discovery ended without a usable answer, or its watch ended."""
 
 
-class UnreachableError(CallFailedError):
-    """Discovery could not be reached, or went down while a watch was open."""
+class DiscoveryDownError(CallFailedError):
+    """Discovery's host refused a connection, or ended a watch."""
 
 
 # What a call can fail with, besides internal errors.
@@ -100,7 +105,8 @@
         except StreamClosedError as error:
             why = str(error.real_error or "closed by the other side")
             refused = not self._answered and self.now() - self._started_at < REFUSAL_TIME
-            raise (UnreachableError if refused or self.watching else CallFailedError)(why) from None
+            is_down = (refused or self.watching) and _ended_by_host(error.real_error)
+            raise (DiscoveryDownError if is_down else CallFailedError)(why) from None
         except UnsatisfiableReadError:
             raise CallFailedError("too much to read") from None
 
@@ -116,7 +122,7 @@
         backoff: Where lists are pushed, the delays before a watch that ended is reopened. None: the decisions
             ask for each watch.
         version: Version of the list that is held; None where it is unknown.
-        synchronized: Discovery has delivered a list in this process, or was unreachable.
+        synchronized: Discovery has delivered a list in this process, or was down.
     """
 
     def __init__(  # noqa: PLR0913, PLR0917 - the parts of the agent that it connects, and its one setting
@@ -203,7 +209,8 @@
         if not self._lost:
             self._lost = True
             why = str(failure) or type(failure).__name__
-            self.log_event("discovery_lost", level="warning", why=why[:MAX_LOGGED_REASON])
+            is_down = isinstance(failure, DiscoveryDownError)
+            self.log_event("discovery_lost", level="warning", why=why[:MAX_LOGGED_REASON], down=is_down)
         self._watch = None
         self._report_failure(failure, current_at)
         if self.backoff is not None:
@@ -232,11 +239,12 @@
                 call.close()
 
     async def _call(self, target: bytes) -> _Call:
-        """Connects and writes a request; raises UnreachableError."""
+        """Connects and writes a request; raises CallFailedError."""
         try:
             stream = await connect(*split_address(self.address), CONNECT_TIMEOUT)
         except OSError as error:
-            raise UnreachableError(error.strerror or str(error)) from None
+            failure = DiscoveryDownError if _ended_by_host(error) else CallFailedError
+            raise failure(error.strerror or str(error)) from None
         if asyncio.current_task().cancelling():  # the cancellation was swallowed, and another watch has begun
             stream.close()
             raise CallFailedError("no longer wanted")
@@ -246,12 +254,10 @@
 
     def _report_failure(self, failure: Exception | None, current_at: int) -> None:
         """Tells the decisions of a failure; current_at: up to when no change can have been missed."""
-        waited = self.now() - current_at
-        if isinstance(failure, UnreachableError):
-            self.synchronized = True
-            self.engine_host.apply_list(ours.UNREACHABLE, waited=waited)
-        else:
-            self.engine_host.apply_list(ours.UNANSWERED, waited=waited)
+        is_down = isinstance(failure, DiscoveryDownError)
+        self.synchronized = self.synchronized or is_down
+        kind = ours.UNREACHABLE if is_down else ours.UNANSWERED
+        self.engine_host.apply_list(kind, waited=self.now() - current_at)
 
     # ---- lists ----
     def _apply_answer(self, members: Any, overtaken: bool = False) -> None:
@@ -312,6 +318,11 @@
                 self._start_times.forget(appliance.id)
 
 
+def _ended_by_host(error: BaseException | None) -> bool:
+    """Returns whether discovery's host ended or refused a connection; None: it closed it properly."""
+    return error is None or (isinstance(error, OSError) and error.errno in ENDED_BY_HOST)
+
+
 def _release(old: asyncio.Task | None, call: _Call | None) -> None:
     """Cancels the watch that one has replaced, and closes that one's call."""
     if old is not None:
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -313,6 +313,7 @@
     memory_limit: int = 192_000_000,
     news: dict[str, Any] | None = None,
     drain_grace: float = 2000.0,
+    registry: str = SETTINGS["registryMode"],
     **allowed: Any,
 ) -> AsyncIterator[NodeHarness]:
     """Runs a node in this process, with the appliances in its list.
@@ -323,6 +324,7 @@
         memory_limit: The node's limit on memory, in bytes.
         news: State of the newest build in the configuration.
         drain_grace: In milliseconds.
+        registry: Whether lists are pushed or asked for, as the settings say it.
         allowed: Changes to the settings below `allowed`.
     """
     for appliance in appliances:
@@ -331,6 +333,7 @@
     discovery, release_service = await Discovery(endpoints).start(), await ReleaseService().start()
     settings = {
         **SETTINGS,
+        "registryMode": registry,
         "allowed": {**SETTINGS["allowed"], **allowed},
         "safety": {**SETTINGS["safety"], "drainGrace": drain_grace},
     }
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -14,6 +14,7 @@
     SERVERS,
     Calm,
     Change,
+    Cut,
     Disturbance,
     Down,
     Episode,
@@ -69,6 +70,7 @@
 ).map(tuple)
 CALM, SILENT, HANGUP = st.just(Calm()), st.just(Silent()), st.just(Hangup())
 TAMPERED = built(Tampered, tenths_between(0, 1), st.sampled_from((RESET, GO_ON, STALL, CORRUPT)))
+CUT = built(Cut, tenths_between(0.1, 13), st.integers(0, 3))
 DOWN = built(Down, tenths_between(0.1, 9), st.booleans(), tenths_between(0, MAX_CROWD_WORK))
 # A process that starts where lists are pushed has only the grace; crowds and outages have tests of their own.
 RESTARTS = {
@@ -119,6 +121,12 @@
     check_all(asked, disturbances, Phase.generate, Phase.shrink)
 
 
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+def test_a_failed_connection_renewed_the_lease_of_an_agent_that_was_cut_off(asked):
+    """Guards against sending to a draining server for as long as a cut from discovery lasts."""
+    check_all(asked, st.one_of(CUT, CUT, DOWN, SILENT), Phase.generate, Phase.shrink)
+
+
 # ---- the check detects faults ----
 def ignores_deltas(patch: pytest.MonkeyPatch) -> None:
     listed = EngineHost.apply_list
