Audit test: the agent that knows no cap takes each stage's cap for 1

The test took away the gate alone; what broke the rule then were keys bound beyond the trial's own share, which the decisions keep below the cap by themselves.

Change: the broken agent is told a cap of 1 in each stage besides, so that its own share breaks the rule as well.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -6,6 +6,7 @@
 import json
 import random
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -146,8 +147,11 @@
 
 
 def knows_no_cap(daemon):
-    for exposure in daemon.engine_host.engine.agent.exposure_budgets.values():
+    agent = daemon.engine_host.engine.agent
+    for exposure in agent.exposure_budgets.values():
         exposure.room = lambda now, cap: True
+    staged = agent.on_stage
+    agent.on_stage = lambda stage: staged(replace(stage, cap=1.0))  # of which its own share is a part
 
 
 class Forgetful(dict):
