Node test: clients beyond the limit send as they connect, not once all have connected

It connected 60 clients and only then had them send.

Change: each client sends as it connects, which is what the test says: each has a request that waits to be read. The checks are as they were: all 60 answered, none evicted.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -310,9 +310,10 @@
     """More connections than the limit, each with a request that waits to be read."""
     held = HoldingAppliance()
     async with running_node(held, sockets=64) as node:
-        others = [await node.client() for _ in range(60)]
-        for number, client in enumerate(others):
-            client.writer.write(request_bytes(f"a{number}"))
+        others = []
+        for number in range(60):
+            others.append(await node.client())
+            others[-1].writer.write(request_bytes(f"a{number}"))
         await held.wait_for_requests(1)
         held.release.set()
         statuses = []
