Handling an invocation is a module of its own: hold, probe, dispatch, copy, retry

Change: cartweir/logic/invocation_handler.py has the steps as short methods, with the constants that only they use. No decision changes.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -4,11 +4,9 @@
 
 import random
 from collections.abc import Mapping
-from functools import partial
 from typing import Any
 
 from ..interface import (
-    ERROR,
     FINGERPRINTED,
     FULL,
     IDEMPOTENT,
@@ -16,30 +14,26 @@
     OBSOLETE,
     ON_TRIAL,
     READY,
-    SIDE_EFFECTING,
     SUCCEEDED,
-    UNCONNECTED,
     ActionGenerator,
     Appliance,
-    Cancel,
     Dispatch,
     Host,
     Invocation,
     Operation,
     Outcome,
-    Probe,
     Stage,
     Tally,
     Terminate,
     Throttle,
-    Wait,
 )
-from ..state import FLAG_COUNTS, AgentState, ApplianceHealth, SharedCounts
+from ..state import FLAG_COUNTS, ApplianceHealth, SharedCounts
 from .builds import exposure_cap, is_judged, runs_newest_build
 from .count_exchange import CountExchange
 from .evidence import Evidence
 from .exposure import make_budgets, within_limits
 from .health import MAX_UNANSWERED, eject, record_answer, record_outcome
+from .invocation_handler import Decisions, InvocationHandler
 from .list_lease import ListLease
 from .one_way_keys import (
     binds_key,
@@ -52,10 +46,10 @@
 )
 from .overload import adjust_concurrency_limit, raise_limit_to_fleet, retry_advice
 from .rollout_order import is_outdated, rollout_place
-from .selection import CHOICES, MOST_AVOIDED, load_score, preferred, to_probe
+from .selection import CHOICES, MOST_AVOIDED, preferred
 from .slow_start import SlowStart, warmth
 from .subscription import ListSubscription
-from .timing import MILLISECOND, STALL_TIME
+from .timing import MILLISECOND
 from .voting import Voting, draw_voter
 
 LOOK_INTERVAL = 500 * MILLISECOND  # between two looks at the evidence
@@ -63,9 +57,6 @@
 INITIAL_RETRY_BUDGET = 10.0
 MAX_RETRY_BUDGET = 20.0
 RETRIES_PER_INVOCATION = 0.2  # what an invocation adds to the budget
-SECOND_COPY_PRICE = 3.0  # what a second copy takes from the budget
-FAILED_RETRY_PRICE = 0.25  # the same for a retry after an error or without a connection
-RETRY_PRICE = 1.0  # for any other
 
 PROBE_MEMORY = 16  # one probe counts for one part in this many
 PROBE_ANSWER_TIME = 100 * MILLISECOND  # an appliance that has not answered a probe by then may stand still
@@ -76,21 +67,14 @@
 MAX_TRIAL_DEFICIT = 2.0
 
 WINDOW_MARGIN = 50 * MILLISECOND  # repeats are no longer sent so shortly before the end of a window
-RETRY_MARGIN = 20 * MILLISECOND  # before the time from which on an answer is of no use
 MIN_TIMEOUT = MILLISECOND
-HOLD_STEP = 50 * MILLISECOND  # after which a held invocation is looked at again
-HOLD_PART = 6  # an invocation is held for one part in this many of its SLO time
-PROBE_PART = 15  # a probe is waited for as long as one part in this many of the SLO time
-SECOND_COPY_PART = 16  # a second copy that was not allowed is tried again after one part in this many
-SECOND_COPY_USE = 0.8  # of the bound on outstanding dispatches; above, no second copy is sent
-MAX_ERRORS = 1  # an invocation that has failed more often fails at any appliance
-MAX_VALUE_FACTOR = 2.0  # in overload, up to this much more room is left for what is worth most
 
 
-class Agent(AgentState):
+class Agent(Decisions):
     """All decisions of one instance.
 
     Attributes:
+        least_value: the least worth of an answer, over all operations.
         evidence: evidence on the newest build.
         voting: votes on its stage.
         count_exchange: counts that are exchanged with other agents.
@@ -101,7 +85,7 @@
 
     def __init__(self, host: Host, settings: Mapping[str, Any], rng: random.Random) -> None:
         super().__init__(host, settings, rng, retry_budget=INITIAL_RETRY_BUDGET)
-        self._least_value = min((o.billed_value for o in settings["operations"]), default=1.0) or 1.0
+        self.least_value = min((o.billed_value for o in settings["operations"]), default=1.0) or 1.0
         self.slow_start = SlowStart(self)
         self.trial_deficit = rng.random()
         self.evidence = Evidence(self)
@@ -366,79 +350,13 @@
             self.host.wake(invocation)
 
     def handle(self, invocation: Invocation) -> ActionGenerator:
-        """Yields the actions for an invocation until it has its final answer."""
-        operation, settings, host = invocation.operation, self.settings, self.host
+        """Takes an invocation; returns the actions for it until it has its final answer."""
         self.slow_start.earn()
         self.retry_budget = min(MAX_RETRY_BUDGET, self.retry_budget + RETRIES_PER_INVOCATION)
-        self.exposure_budgets[operation].take(host.now)
+        self.exposure_budgets[invocation.operation].take(self.host.now)
         if (key := one_way_key(self, invocation)) is not None:
             self.recent_keys.append(key)
-        end = invocation.deadline - 2 * settings["tick"]  # rule 1: the last moment for our answer
-        useful = end if operation.late_value > 0 else min(end, invocation.arrived_at + operation.slo_time)
-        # in overload, what is worth most goes first
-        value_factor = min(MAX_VALUE_FACTOR, operation.billed_value / self._least_value)
-        part = self.rng.random()  # chance stands for what is less than one dispatch
-        while True:
-            # 1. Pick appliances, or hold; how long the oldest one has been held shows an overload.
-            held_until, pair = min(useful, host.now + operation.slo_time // HOLD_PART), []
-            while not invocation.concluded:
-                room = self.open_dispatches + part < self.concurrency_limit * value_factor
-                if room or host.lag > STALL_TIME:  # a stall of this process held these up
-                    pair = self.pick(invocation)
-                if pair or host.now >= held_until:
-                    break
-                self.held.append(invocation)
-                yield Wait(min(held_until, host.now + HOLD_STEP))
-                self.held.remove(invocation)
-            if pair and (asked := to_probe(self, pair)) and not invocation.concluded:
-                for appliance in asked:
-                    appliance.decision_state.last_probe_at = host.now
-                yield Probe(asked, min(useful, host.now + operation.slo_time // PROBE_PART))
-                if not invocation.concluded and not (pair := [a for a in pair if self.may_go(invocation, a)]):
-                    continue
-            if not pair or invocation.concluded:
-                break
-            # 2. Dispatch, and send a second copy where one is allowed and few are held.
-            timeout, second_at = end - host.now, end
-            if operation.effect != SIDE_EFFECTING:
-                if settings["may_duplicate"]:
-                    second_at = host.now + (useful - host.now) // 2
-                elif not settings["may_duplicate"] and not invocation.dispatches:
-                    timeout = (useful - host.now) * 9 // 10
-            chosen = min(pair, key=partial(load_score, self))
-            yield self._send(invocation, chosen, timeout, second_at)
-            while not invocation.concluded and (
-                invocation.streaming
-                or (host.now < end and any(d.result is None for d in invocation.dispatches))
-            ):
-                if host.now < second_at or invocation.streaming:
-                    yield Wait(second_at if host.now < second_at else None)
-                    continue
-                if self.held or self.open_dispatches >= SECOND_COPY_USE * self.concurrency_limit:
-                    # not now, perhaps a little later
-                    later = host.now + operation.slo_time // SECOND_COPY_PART
-                    second_at = later if host.now < useful else end
-                    continue
-                second_at, tried = end, [d.appliance for d in invocation.dispatches]
-                chosen = min(self.pick(invocation), key=partial(load_score, self), default=None)
-                if chosen and chosen not in tried and self.may_retry(invocation, SECOND_COPY_PRICE):
-                    yield self._send(invocation, chosen, end - host.now, end)
-            # 3. Retry, if that is of use.
-            results = [d.result for d in invocation.dispatches]
-            price = FAILED_RETRY_PRICE if results[-1] in (ERROR, UNCONNECTED) else RETRY_PRICE
-            if (
-                invocation.concluded
-                or host.now >= useful - RETRY_MARGIN
-                or results.count(ERROR) > MAX_ERRORS
-                or not self.may_retry(invocation, price)
-                or not any(self.may_repeat(invocation, a) for a in self.fleet)
-            ):
-                break
-        if not invocation.concluded:
-            yield self.give_up(invocation)
-        for dispatch in invocation.dispatches:
-            if dispatch.result is None and settings["may_cancel"]:
-                yield Cancel(dispatch)
+        return InvocationHandler(self, invocation).run()
 
     def may_retry(self, invocation: Invocation, price: float) -> bool:
         """Returns whether one more dispatch is within the retry budget, and takes it from the budget.
@@ -450,7 +368,7 @@
             self.retry_budget -= price
         return allowed
 
-    def _send(self, invocation: Invocation, appliance: Appliance, timeout: int, until: int) -> Dispatch:
+    def send(self, invocation: Invocation, appliance: Appliance, timeout: int, until: int) -> Dispatch:
         """Returns the dispatch to yield, and counts it."""
         health, budget = appliance.decision_state, self.exposure_budgets[invocation.operation]
         self.open_dispatches += 1
