gRPC agent: an answer that cannot be taken counts as lost, and its key stays with the build

What callers saw: with one-way keys, an answer of the new build that was longer than [wire] answer, cut within a message or without a status counted as an error of the appliance, which binds no key. The appliance may have answered well; the key then went to the earlier build.

AppliancePools ended such dispatches as errors, where the node ends them as reset.

Change: both ends are RESET now, which binds the key. This works as a reset says what is known: it ran, and what came of it is not. It counts as a failure as before.

--- a/cartweir/agent/appliance_pools.py
+++ b/cartweir/agent/appliance_pools.py
@@ -507,7 +507,7 @@
         except MalformedError as error:
             self.pools.log_event("bad_answer", appliance=self.dispatch.appliance.id, why=str(error))
             stream.reset()
-            self._end(ours.ERROR)
+            self._end(ours.RESET)  # the appliance may have answered well
             return
         if self.passing:
             self.call.data(data)  # acknowledged as the client takes it
--- a/cartweir/agent/grpc_mapping.py
+++ b/cartweir/agent/grpc_mapping.py
@@ -120,6 +120,8 @@
 def result_of(head: Headers, tail: Headers, whole: bool) -> str:
     """Returns how a dispatch ended whose answer has arrived to its end.
 
+    An answer that cannot be read counts as lost: the appliance may have answered well.
+
     Args:
         head: The answer's headers.
         tail: Its trailers.
@@ -127,7 +129,7 @@
     """
     status = grpc.status_of(head, tail)
     if status is None or not whole:
-        return ours.ERROR
+        return ours.RESET
     if status == Status.RESOURCE_EXHAUSTED and not head:
         return ours.FULL  # trailers only: the appliance refused the call before any work
     return ours.ERROR if status in ERROR_STATUSES else ours.SUCCEEDED
--- a/tests/test_one_way_keys.py
+++ b/tests/test_one_way_keys.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field
 
 import peers
+import pytest
 from helpers import MS, S, Scene
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from node_harness import Appliance, HoldingAppliance, entry, request_bytes, running_node
-from peers import VIEW, answer, nothing, rig
+from peers import VIEW, answer, head, large, nothing, rig, tail
 from test_calls import sockets
 from test_processes import Offering
 from worker_harness import run_agent, until
@@ -191,3 +192,32 @@
         second = (await agent.connect_client(2)).call(VIEW, cartweir_key="k", timeout="300m")
         await asyncio.gather(first.done.wait(), second.done.wait())
         assert not old.requests
+
+
+def cut_short(who, peer, stream, number):
+    """Answers with a message that ends before its length."""
+    head(peer, stream)
+    peer.h2.send_data(stream, b"\0\0\0\0\x40only this")
+    tail(peer, stream)
+
+
+@pytest.mark.parametrize("act", [large(4_096), cut_short], ids=["too long", "cut"])
+@sockets
+async def test_grpc_agent_binds_a_key_whose_answer_it_could_not_take(act, tmp_path, monkeypatch):
+    """Guards against a good answer that is too long, or cut, counting as an error: its key went back."""
+    monkeypatch.setattr(peers, "SETTINGS", peers.SETTINGS.replace("[release]", "[release]\none_way = yes"))
+    conveyor = Offering(None)
+    conveyor.word.cap = 1.0
+    address = conveyor.listen_on("127.0.0.1:0")
+    async with rig(tmp_path, conveyor=address, wire="answer = 1KiB\nhold = 1KiB") as it:
+        agent = it.daemon.engine_host.engine.agent
+        await it.add(act, build=2)
+        await until(lambda: agent.stage is not None and len(agent.fleet) == 1)
+        client = await it.client()
+        await client.call(VIEW, cartweir_key="k", timeout="900m").done.wait()
+        assert "k" in agent.bound_keys
+        old = await it.add(answer)
+        await until(lambda: len(agent.fleet) == 2)
+        await client.call(VIEW, cartweir_key="k", timeout="300m").done.wait()
+        assert not old.requests
+    conveyor.shutdown()
