--- a/benchmarks/ordinary_day.py
+++ b/benchmarks/ordinary_day.py
@@ -2,8 +2,8 @@
 
 Some agents send the requests of their clients to the servers of one service while a good build is rolled
 out in three stages. Keys go one way: one that the new build has answered to an agent must not go from that
-agent to the earlier build again. Each server works on two requests at a time and queues the others. Nothing
-fails unless an option says so.
+agent to the earlier build again. Each server works on two requests at a time and queues the others; servers
+of the new build start cold. Nothing fails unless an option says so.
 
     ./dev ordinary_day --seeds 20
     ./dev ordinary_day --seeds 20 --lost 0.02      # of the new build's answers
@@ -29,6 +29,7 @@
 AGENT_SHARES = (0.5, 0.3, 0.2)  # of the requests
 EARLIER_SERVERS, CORES = 12, 2
 NETWORK_TIME = MILLISECOND  # one way
+COLD_SHARE, WARM_TIME = 0.4, 5 * SECOND  # of its speed that a server starts with, until it is warm
 WORK = 60 * MILLISECOND, 210 * MILLISECOND
 REQUESTS = 100.0  # a second, of all agents
 KEYS, KEY_EXPONENT = 5_000, 1.1
@@ -60,11 +61,17 @@
     appliance: Appliance
     free_at: list[int] = field(default_factory=lambda: [0] * CORES)
 
-    def work(self, now: int, duration: int) -> int:
-        """Returns when work that arrives now is done."""
-        start = max(now, heapq.heappop(self.free_at))
-        heapq.heappush(self.free_at, start + duration)
-        return start + duration
+    def work(self, now: int, duration: float) -> int:
+        """Returns when work that arrives now is done; duration: on a warm server."""
+        begin = max(now, heapq.heappop(self.free_at))
+        end = begin + round(duration / self._speed(begin))
+        heapq.heappush(self.free_at, end)
+        return end
+
+    def _speed(self, now: int) -> float:
+        if not self.appliance.started:
+            return 1.0
+        return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * (now - self.appliance.started) / WARM_TIME)
 
 
 class Day:
@@ -117,10 +124,11 @@
 
     def _add_servers(self, build: int, count: int) -> None:
         names = [f"build{build}-{len(self.servers) + number}" for number in range(count)]
+        started = self.now if build == NEW_BUILD else 0
         for name in names:
-            self.servers[name] = Server(Appliance(name, build, "a"))
+            self.servers[name] = Server(Appliance(name, build, "a", started=started))
         for agent in self.agents:
-            agent.tell_list([Appliance(name, build, "a") for name in names])
+            agent.tell_list([Appliance(name, build, "a", started=started) for name in names])
 
     def _tell(self, stage: Stage) -> None:
         for agent in self.agents:
@@ -150,7 +158,7 @@
         if build < NEW_BUILD and answered_at is not None and arrived > answered_at + KEY_COUNTS_AFTER:
             self.counts["keys_back"] += 1
         work = self._servers.uniform(*WORK) * (self.options.slow if build == NEW_BUILD else 1.0)
-        written = server.work(arrived, round(work))
+        written = server.work(arrived, work)
         if build == NEW_BUILD:
             self.counts["dispatches_new"] += 1
             self.at(written, lambda: self.key_answered_at.setdefault(key, written))
@@ -168,7 +176,7 @@
             **{"agents": len(AGENT_SHARES), "me": number, "zone": "a", "tick": 5 * MILLISECOND},
             **{"may_cancel": True, "may_probe": False, "may_message": False, "may_duplicate": True},
             **{"may_advise": True, "max_advice": SECOND // 2, "dispatch_limit": 4, "must_ask": False},
-            **{"cold_share": 0.4, "warm_time": 5 * SECOND, "fall_multiple": 4.0, "fall_time": SECOND},
+            **{"cold_share": COLD_SHARE, "warm_time": WARM_TIME, "fall_multiple": 4.0, "fall_time": SECOND},
             **{"drain_grace": 2 * SECOND, "idle_time": 30 * SECOND, "control": "share", "in_place": False},
             **{"per_operation": False, "window": 4 * SECOND, "free": 1.0, "caps": CAPS, "shares": SHARES},
             **{"guarded_stages": 0, "one_way": True, "on_votes": 2, "back_votes": 1, "flag_share": 0.0},
