--- a/benchmarks/ordinary_day.py
+++ b/benchmarks/ordinary_day.py
@@ -260,14 +260,31 @@
         """Sends nothing: messages are not allowed."""
 
 
+def _number_between(least: float, most: float, kind: type = float) -> Callable[[str], float]:
+    """Returns a parser of an option's value, which refuses what is outside of these bounds."""
+
+    def parse(text: str) -> float:
+        value = kind(text)
+        if not least <= value <= most:
+            raise argparse.ArgumentTypeError(f"{text}: expected a number from {least:g} to {most:g}")
+        return value
+
+    parse.__name__ = "number"
+    return parse
+
+
 def main() -> None:
     """Plays the days and prints a line for each, and one for all."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seeds", type=int, default=20, help="days, of the seeds from 1 on")
     parser.add_argument(
-        "--lost", type=float, default=0.0, help="part of the new build's answers that is lost"
+        "--seeds", type=_number_between(1, 10_000, int), default=20, help="days, of the seeds from 1 on"
+    )
+    parser.add_argument(
+        "--lost", type=_number_between(0, 1), default=0.0, help="part of the new build's answers that is lost"
+    )
+    parser.add_argument(
+        "--slow", type=_number_between(0.1, 100), default=1.0, help="times the work at the new build"
     )
-    parser.add_argument("--slow", type=float, default=1.0, help="times the work at the new build")
     arguments = parser.parse_args()
     options = Options(arguments.lost, arguments.slow)
     shares, total = [], Counter()
