Soak: answers of servers get lost, and one-way keys are checked

Change: a new action has servers lose three in ten answers, whose connections stay open and silent; check_keys finds attempts at an earlier build over 0.2 s after a newer one has answered the key to the same process. A flaw puts the old rule into a node on purpose.

--- a/cartweir/soak/appliance.py
+++ b/cartweir/soak/appliance.py
@@ -27,6 +27,8 @@
 HANGING = "hanging"  # reads and never answers
 RESETTING = "resetting"  # ends each connection as a request has arrived
 FAILING = "failing"  # answers 500
+LOSING = "losing"  # a part of its answers gets lost
+LOST_SHARE = 0.3
 
 NOT_PROCESSED = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 FAILED = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
@@ -130,9 +132,14 @@
             writer.write(NOT_PROCESSED)
             self.note("refused", request_id)
             return True
-        writer.write(await self._work(request_id, body))
+        answer = await self._work(request_id, body)
+        is_lost = self.mode == LOSING and self._random.random() < LOST_SHARE
+        if not is_lost:
+            writer.write(answer)
         self.note("answered", request_id, self.mode)
-        return True
+        if is_lost:
+            await reader.read()  # the connection stays open and silent until the agent gives up
+        return not is_lost
 
     async def _work(self, request_id: str, body: bytes) -> bytes:
         self._held += 1
--- a/cartweir/soak/clients.py
+++ b/cartweir/soak/clients.py
@@ -39,6 +39,7 @@
         life: Which process of this agent it was sent to, counted from 0.
         operation: Its operation.
         time_limit: Its time limit in microseconds.
+        key: Its route key.
         written_at: When its last byte was written, in microseconds of the monotonic clock.
         reused: The connection had carried an answer before.
         ending: One of the endings above.
@@ -62,6 +63,7 @@
     body: bytes = b""
     retry_after: bool = False
     repeated: bool = False
+    key: str = ""
 
 
 @dataclass(eq=False)
@@ -168,6 +170,7 @@
             self._random.choice(TIME_LIMITS) * 1000,
             0,
             connection.used,
+            key=f"{self._random.randrange(KEYS):x}",
         )
         await self._exchange(front, connection, record, self._random.random() < self.leaving)
         if record.ending == LEFT and operation != VIEW and self._random.random() < REPEAT_SHARE:
@@ -217,7 +220,7 @@
             f"X-Request-ID: {record.id}",
             f"X-Priority-Class: {record.operation}",
             "X-Tenant-Id: acme",
-            f"X-Route-Key: {self._random.randrange(KEYS):x}",
+            f"X-Route-Key: {record.key}",
             f"X-Timeout: {record.time_limit // 1000}m",
         ]
         if record.operation != VIEW:
--- a/cartweir/soak/flaws.py
+++ b/cartweir/soak/flaws.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from ..hosting import tcp
+from ..logic import exposure
 from ..logic.executed_requests import ExecutedRequests
 from ..logic.request_memory import RequestMemory
 from ..node.http1 import RequestParser
@@ -18,6 +19,7 @@
     UNLIMITED_MEMORY = "unlimited_memory"  # requests may hold any number of bytes
     UNNOTICED_CLOSE = "unnoticed_close"  # a client that has closed is there while something is unread
     UNLIMITED_CHUNKS = "unlimited_chunks"  # a request may have any number of tiny chunks
+    FREE_OUTSTANDING_KEYS = "free_outstanding_keys"  # a key counts as answered by what was read alone
 
 
 def _forget_ids() -> None:
@@ -36,11 +38,16 @@
     RequestParser.max_small_chunks = None
 
 
+def _forget_outstanding_keys() -> None:
+    exposure.lowest_build = lambda state, key: state.bound_keys.get(key, 0)
+
+
 _INSTALL: dict[Flaw, Callable[[], None]] = {
     Flaw.FORGOTTEN_IDS: _forget_ids,
     Flaw.UNLIMITED_MEMORY: _do_not_limit_memory,
     Flaw.UNNOTICED_CLOSE: _do_not_notice_closing,
     Flaw.UNLIMITED_CHUNKS: _do_not_limit_chunks,
+    Flaw.FREE_OUTSTANDING_KEYS: _forget_outstanding_keys,
 }
 
 
--- a/cartweir/soak/records.py
+++ b/cartweir/soak/records.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .appliance import FAILING
+
 
 @dataclass(frozen=True)
 class Attempt:
@@ -30,6 +32,21 @@
     key: str
 
 
+@dataclass(frozen=True)
+class Answer:
+    """A good answer that an appliance wrote, whether it arrived or not.
+
+    Attributes:
+        at: When, in microseconds of the monotonic clock.
+        server: The appliance.
+        request_id: The request's id.
+    """
+
+    at: int
+    server: str
+    request_id: str
+
+
 @dataclass(eq=False)
 class ServerRecords:
     """What all appliances recorded.
@@ -38,11 +55,13 @@
         attempts: Requests received, in order of time.
         refused: Attempts that were refused without having run, by time and request.
         runs: Times at which each request ran, by its id.
+        answers: Good answers, in order of time.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
     refused: set[tuple[int, str]] = field(default_factory=set)
     runs: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    answers: list[Answer] = field(default_factory=list)
 
 
 def read_server_records(paths: Iterable[Path]) -> ServerRecords:
@@ -63,7 +82,10 @@
                 records.refused.add((latest[facts[0]].at, facts[0]))
             elif what == "ran":
                 records.runs[facts[0]].append(at)
+            elif what == "answered" and facts[1] != FAILING:
+                records.answers.append(Answer(at, server, facts[0]))
     records.attempts.sort(key=lambda attempt: attempt.at)
+    records.answers.sort(key=lambda answer: answer.at)
     return records
 
 
--- a/cartweir/soak/rules.py
+++ b/cartweir/soak/rules.py
@@ -11,7 +11,7 @@
 from .appliance import ApplianceMake
 from .clients import ANSWERED, ENDED, ISSUE, LEFT, ORDER, SILENT, RequestRecord
 from .platform import DOWN, Listing, StageTold, Told
-from .records import Attempt, ServerRecords
+from .records import Answer, Attempt, ServerRecords
 from .schedule import Deployment
 
 MS, SECOND = 1_000, 1_000_000
@@ -20,6 +20,7 @@
 ANSWER_GRACE = SECOND // 2  # an answer that comes later than that after the time limit is lost
 LEFT_GRACE = 100 * MS  # an attempt may begin so long after its client has closed
 FORWARD_SLACK = 150 * MS  # by which the time told to a server may exceed what is left to the client
+KEY_COUNTS_AFTER = 150 * MS + SLACK  # from when a good answer was written
 CAP_DELAY = 150 * MS  # a lower cap binds so much later
 EXPOSURE_ATTEMPTS, EXPOSURE_SHARE = 2, 1.04  # attempts and share of the cap that pass beyond the rule
 LAST_TAKEN = 700 * MS  # after SIGTERM: what comes later and is unanswered at SIGKILL is lost
@@ -152,6 +153,7 @@
         *check_drains(evidence),
         *check_cold_servers(evidence),
         *check_exposure(evidence),
+        *check_keys(evidence),
     ]
     return sorted(breaches, key=lambda breach: breach.at)
 
@@ -406,6 +408,31 @@
                 break
 
 
+def check_keys(evidence: Evidence) -> Iterable[Breach]:
+    """Rule 5: a one-way key that a build has answered to a process goes from it to no earlier build."""
+    if not evidence.deployment.one_way:
+        return
+    answers: dict[tuple[int, int, str], list[Answer]] = defaultdict(list)
+    for answer in evidence.servers.answers:
+        request = evidence.requests_by_id.get(answer.request_id)
+        if request is not None and request.key:
+            answers[request.agent, request.life, request.key].append(answer)
+    for attempt in evidence.servers.attempts:
+        request = evidence.requests_by_id.get(attempt.request_id)
+        if request is None:
+            continue
+        build = evidence.makes[attempt.server].build
+        for answer in answers.get((request.agent, request.life, request.key), ()):
+            if answer.at + KEY_COUNTS_AFTER >= attempt.at:
+                break
+            if evidence.makes[answer.server].build > build:
+                what = (
+                    f"key {request.key} of {request.id} went from agent {request.agent} to {attempt.server}"
+                )
+                yield Breach(5, attempt.at, f"{what}, {answer.server} had answered {answer.request_id}")
+                break
+
+
 def _cap(evidence: Evidence, attempt: Attempt) -> float | None:
     """Returns the cap that binds an attempt; None where its server's build is not on trial for its agent."""
     build = evidence.makes[attempt.server].build
--- a/cartweir/soak/run.py
+++ b/cartweir/soak/run.py
@@ -16,7 +16,7 @@
 from ..faults.ports import free_addresses
 from ..hosting.clock import monotonic
 from . import schedule as kinds
-from .appliance import FAILING, HANGING, RESETTING, SERVING, ApplianceMake
+from .appliance import FAILING, HANGING, LOSING, RESETTING, SERVING, ApplianceMake
 from .clients import ORDER, TIME_LIMITS, Clients, Front, stop_amid_request
 from .hostile_plan import HostilePlan
 from .plan import ProcessPlan, write_origin
@@ -76,6 +76,7 @@
             kinds.HANG_SERVERS: lambda action: self._set_server_modes(action, HANGING),
             kinds.RESET_SERVERS: lambda action: self._set_server_modes(action, RESETTING),
             kinds.FAIL_SERVERS: lambda action: self._set_server_modes(action, FAILING),
+            kinds.LOSE_ANSWERS: lambda action: self._set_server_modes(action, LOSING),
             kinds.DRAIN_SERVERS: self._drain_servers,
             kinds.ADD_SERVERS: self._add_servers,
             kinds.KILL_AGENTS: self._kill_agents,
--- a/cartweir/soak/schedule.py
+++ b/cartweir/soak/schedule.py
@@ -16,6 +16,7 @@
 HANG_SERVERS = "hang_servers"
 RESET_SERVERS = "reset_servers"
 FAIL_SERVERS = "fail_servers"
+LOSE_ANSWERS = "lose_answers"  # of servers: a part never arrives, and its connection stays open
 DRAIN_SERVERS = "drain_servers"  # announced as leaving, later removed and ended
 ADD_SERVERS = "add_servers"  # new, cold
 KILL_AGENTS = "kill_agents"
@@ -36,6 +37,7 @@
     HANG_SERVERS: 3,
     RESET_SERVERS: 1,
     FAIL_SERVERS: 1,
+    LOSE_ANSWERS: 2,
     DRAIN_SERVERS: 2,
     ADD_SERVERS: 1,
     KILL_AGENTS: 1,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from cartweir.soak import run
@@ -11,11 +13,13 @@
 from cartweir.soak.hostile_plan import CROWDS, FLOODS, Attack
 from cartweir.soak.plan import ProcessPlan
 from cartweir.soak.platform import DOWN, UP, Listing, StageTold, Told
-from cartweir.soak.records import Attempt, ServerRecords
-from cartweir.soak.rules import MEGABYTE, AgentLife, Evidence, check_all
+from cartweir.soak.records import Answer, Attempt, ServerRecords
+from cartweir.soak.rules import MEGABYTE, AgentLife, Evidence, check_all, check_keys
 from cartweir.soak.run import play
 from cartweir.soak.schedule import (
     HOSTILE_CROWD,
+    LOSE_ANSWERS,
+    RELEASE,
     SECOND,
     STALL_AGENTS,
     WEIGHTS,
@@ -39,12 +43,15 @@
 
 HALF_CROWD = Action(1.0, HOSTILE_CROWD, (0,), 3.0, 300, Attack.HALF_REQUESTS)
 TINY_CROWD = Action(1.0, HOSTILE_CROWD, (0,), 3.0, 300, Attack.TINY_CHUNKS)
+RELEASED = Action(0.2, RELEASE)
+LOST_ANSWERS = Action(1.5, LOSE_ANSWERS, range(12), 4.0)
 STALLS = Action(1.0, STALL_AGENTS, (0,), 4.0)
 FLAWS = {  # what a run needs to find each: actions, clients that leave, and a word of the breach
     Flaw.FORGOTTEN_IDS: ((), 0.5, "rule 2"),
     Flaw.UNLIMITED_MEMORY: ((HALF_CROWD,), 0.0, "KB of 40 MB"),
     Flaw.UNNOTICED_CLOSE: ((STALLS,), 0.5, "after it was left"),
     Flaw.UNLIMITED_CHUNKS: ((TINY_CROWD,), 0.0, "rule 1"),
+    Flaw.FREE_OUTSTANDING_KEYS: ((RELEASED, LOST_ANSWERS), 0.0, "rule 5"),
 }
 
 
@@ -125,6 +132,30 @@
     assert rules(evidence([left, request("r", ORDER, repeated=True, status=409)])) == []
 
 
+@pytest.mark.parametrize(
+    "after,life,one_way,broken",
+    [
+        (201, 0, True, True),
+        (199, 0, True, False),  # it does not count as answered yet
+        (201, 1, True, False),  # another process of the agent
+        (201, 0, False, False),  # keys may go back
+    ],
+)
+def test_the_oracle_finds_a_key_that_goes_back(after, life, one_way, broken):
+    first = request("first", key="k")
+    second = request("second", at=SECOND + 60 * MS, key="k", ended_at=SECOND + 400 * MS)
+    second.life = life
+    found = evidence([first, second])
+    found.makes["new"] = replace(found.makes["s0"], name="new", build=3)
+    found.servers.attempts += [
+        attempt("first", SECOND + 10 * MS, "new"),
+        attempt("second", SECOND + (50 + after) * MS),
+    ]
+    found.servers.answers.append(Answer(SECOND + 50 * MS, "new", "first"))
+    found = replace(found, deployment=replace(DEPLOYMENT, one_way=one_way))
+    assert [breach.rule for breach in check_keys(found)] == [5] * broken
+
+
 @pytest.mark.parametrize(
     "found, rule",
     [
