--- /dev/null
+++ b/review/second/standins.py
@@ -0,0 +1,650 @@
+"""Stand-ins of the platform for the cases 6 to 10: appliances, discovery, the release service, clients.
+
+They run in the process of the test, on loopback addresses and the real clock. Nothing of the project is
+imported: the agent under test is a process of its own, started with the line `run` of the deploy file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+import tomllib
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[2]
+
+RULE_HELD, RULE_BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit codes of a case
+
+# Seconds.
+HEARTBEAT = 2.0  # between empty lines on a watch
+PING = 1.0  # between signs of life of the release service
+QUEUE_TIME = 2.0  # after which a crowded discovery fails a call
+OLD_ADDRESS_STAYS = 1.5  # after SIGHUP the old addresses close their open connections
+READY_WITHIN = 20.0
+LATE_ANSWER = 0.5  # past its time limit a request may still get its answer
+
+MAX_HEAD = 64 * 1024
+
+
+class CannotRunError(Exception):
+    """The case could not be played; it says nothing about the rule."""
+
+
+class Record:
+    """What was sent, answered and run, as lines with the seconds since the start."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
+        self._began = time.monotonic()
+
+    def now(self) -> float:
+        """Returns the seconds since the start."""
+        return time.monotonic() - self._began
+
+    def write(self, what: str, **facts: Any) -> float:
+        """Writes a line; returns its time."""
+        at = self.now()
+        self._file.write(f"{at:.3f} {what}{''.join(f' {name}={value}' for name, value in facts.items())}\n")
+        return at
+
+    def close(self) -> None:
+        """Closes the file."""
+        self._file.close()
+
+
+@dataclass
+class Message:
+    """A request or an answer: its first line, headers by lower-case name, body."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+    @property
+    def status(self) -> int:
+        """The status of an answer."""
+        return int(self.line.split(" ")[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Reads one message with Content-Length; raises IncompleteReadError at the end."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:] if line)}
+    return Message(head[0], headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+def answer(status: int, body: bytes = b"", *headers: str) -> bytes:
+    """Returns an answer as bytes."""
+    lines = [f"HTTP/1.1 {status} Status", *headers, f"Content-Length: {len(body)}"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def unused_address() -> str:
+    """Returns a free loopback address."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def split(address: str) -> tuple[str, int]:
+    """Returns host and port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Server:
+    """A server on a free loopback port that runs `serve` for each connection."""
+
+    def __init__(self) -> None:
+        self.writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self.address = ""
+
+    async def start(self) -> Any:
+        """Begins to listen."""
+        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0, limit=MAX_HEAD)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._tasks.add(asyncio.current_task())
+        self.writers.add(writer)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                await self.serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            self._tasks.discard(asyncio.current_task())
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one connection."""
+        raise NotImplementedError
+
+    def stop_listening(self) -> None:
+        """Accepts no new connection."""
+        self._server.close()
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        self.stop_listening()
+        for task in list(self._tasks):
+            task.cancel()
+
+
+@dataclass
+class Attempt:
+    """One attempt that an appliance was sent."""
+
+    at: float
+    server: str
+    build: int
+    request: Message
+
+    @property
+    def id(self) -> str:
+        """The id of the client's request."""
+        return self.request.headers.get("x-request-id", "")
+
+
+class Appliance(Server):
+    """Answers each request after some work, unless it is told that it drains."""
+
+    def __init__(self, name: str, record: Record, build: int = 41, work: float = 0.02) -> None:
+        super().__init__()
+        self.name, self.record, self.build, self.work = name, record, build, work
+        self.draining = False
+        self.attempts: list[Attempt] = []
+        self.script: Callable[[Message], Awaitable[bytes | None]] | None = None
+
+    def entry(self, **more: Any) -> dict[str, Any]:
+        """Returns its entry in discovery's list."""
+        return {
+            "name": self.name,
+            "address": self.address,
+            "zone": "a",
+            "type": "m",
+            "group": 1,
+            "status": "up",
+            "weight": 1.0,
+            "since_ms": 0,
+            "release": self.build,
+            **more,
+        }
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one connection, a request at a time."""
+        while True:
+            request = await read_message(reader)
+            if "/-/" in request.line:
+                writer.write(answer(200))
+                continue
+            at = self.record.now()
+            self.attempts.append(Attempt(at, self.name, self.build, request))
+            self.record.write("attempt", server=self.name, id=request.headers.get("x-request-id", "-"))
+            if self.script is not None:
+                data = await self.script(request)
+                if data is None:
+                    return
+            elif self.draining:
+                data = answer(503, b"", "X-Not-Processed: 1")
+            else:
+                await asyncio.sleep(self.work)
+                data = answer(200, self.body(request))
+            writer.write(data)
+
+    def body(self, request: Message) -> bytes:
+        """Returns the one right body of an answer to this request."""
+        return b"answer to " + request.headers.get("x-request-id", "-").encode()
+
+
+class Discovery(Server):
+    """One list of appliances, at one address or, after `move`, another.
+
+    Attributes:
+        crowded: Calls wait for `QUEUE_TIME` and then get 503.
+    """
+
+    def __init__(self, record: Record, entries: list[dict[str, Any]]) -> None:
+        super().__init__()
+        self.record = record
+        self.entries = {entry["name"]: entry for entry in entries}
+        self.index, self.crowded, self.calls = 41, False, 0
+        self._watches: set[asyncio.StreamWriter] = set()
+
+    def document(self, whole: bool, entries: list[dict[str, Any]]) -> dict[str, Any]:
+        """Returns a list or a change."""
+        return {"index": self.index, "snapshot": whole, "endpoints": entries}
+
+    def known(self) -> dict[str, Any]:
+        """Returns the whole list."""
+        return self.document(True, list(self.entries.values()))
+
+    @staticmethod
+    def _write(writer: asyncio.StreamWriter, text: str) -> None:
+        data = text.encode() + b"\n"
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answers one call; a watch stays open."""
+        call = await read_message(reader)
+        self.calls += 1
+        self.record.write("discovery_call", at=self.address, line=repr(call.line), crowded=self.crowded)
+        if self.crowded:
+            await asyncio.sleep(QUEUE_TIME)
+            self.record.write("discovery_answer", status=503)
+            writer.write(answer(503))
+            return
+        if "watch=1" not in call.line:
+            writer.write(answer(200, json.dumps(self.known()).encode()))
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._write(writer, json.dumps(self.known()))
+        self.record.write("discovery_answer", status=200, index=self.index)
+        self._watches.add(writer)
+        try:
+            while True:
+                await asyncio.sleep(HEARTBEAT)
+                self._write(writer, "")
+        finally:
+            self._watches.discard(writer)
+
+    def change(self, name: str, **fields: Any) -> float:
+        """Changes an entry, and tells the watches that stand; returns when."""
+        self.index += 1
+        self.entries[name] = {**self.entries[name], **fields}
+        for writer in self._watches:
+            self._write(writer, json.dumps(self.document(False, [self.entries[name]])))
+        return self.record.write("change", index=self.index, name=name, told=len(self._watches), **fields)
+
+    async def restart(self, away: float) -> float:
+        """Ends all connections, refuses new ones for so many seconds, and is back; returns when."""
+        port = split(self.address)[1]
+        self.stop()
+        self.record.write("discovery_down")
+        await asyncio.sleep(away)
+        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", port, limit=MAX_HEAD)
+        return self.record.write("discovery_back")
+
+    async def moved(self) -> Discovery:
+        """Returns this service at another address; call `retire` on the old one at SIGHUP."""
+        other = Discovery(self.record, list(self.entries.values()))
+        other.index = self.index
+        return await other.start()
+
+    def retire(self) -> None:
+        """Accepts nothing new, and closes open connections after 1.5 s."""
+        self.stop_listening()
+        asyncio.get_running_loop().call_later(OLD_ADDRESS_STAYS, self.stop)
+
+
+class ReleaseService(Server):
+    """Tells the state of the newest build, and takes votes."""
+
+    def __init__(self, record: Record, state: dict[str, Any]) -> None:
+        super().__init__()
+        self.record, self.state, self.since = record, state, time.monotonic() - 60
+        self.listeners: set[asyncio.StreamWriter] = set()
+
+    def news(self) -> dict[str, Any]:
+        """Returns the state of the newest build."""
+        return {**self.state, "age_ms": round((time.monotonic() - self.since) * 1000)}
+
+    @staticmethod
+    def line(**members: Any) -> bytes:
+        """Returns a line of JSON-RPC."""
+        return json.dumps({"jsonrpc": "2.0", **members}).encode() + b"\n"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answers calls in turn."""
+        pings: asyncio.Task | None = None
+        try:
+            while data := await reader.readline():
+                call = json.loads(data)
+                self.record.write("release_call", method=call.get("method"))
+                if call.get("method") == "listen":
+                    writer.write(self.line(id=call["id"], result=True))
+                    writer.write(self.line(method="news", params=self.news()))
+                    self.listeners.add(writer)
+                    pings = asyncio.ensure_future(self._ping(writer))
+                else:
+                    writer.write(self.line(id=call["id"], result=self.news()))
+        finally:
+            self.listeners.discard(writer)
+            if pings is not None:
+                pings.cancel()
+
+    async def _ping(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await asyncio.sleep(PING)
+            writer.write(self.line(method="ping"))
+
+    def tell(self, **state: Any) -> float:
+        """Changes the state, and tells the listeners; returns when."""
+        self.set_state(**state)
+        for writer in self.listeners:
+            writer.write(self.line(method="news", params=self.news()))
+        return self.record.write("news", listeners=len(self.listeners), **self.state)
+
+    def set_state(self, **state: Any) -> None:
+        """Changes the state without telling it."""
+        self.state, self.since = {**self.state, **state}, time.monotonic()
+
+
+RELEASED = {"build": 41, "stage": 2, "phase": "live", "cap": 1.0}
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """Returns the settings of a small deployment; changes: sections whose members are replaced."""
+    base: dict[str, Any] = {
+        "balancers": 1,
+        "me": 0,
+        "zone": "a",
+        "tick": 5.0,
+        "registryMode": "on_request",
+        "failureDomains": ["a"],
+        "allowed": {
+            "cancel": True,
+            "connectTimeout": 250.0,
+            "keepalive": 30000.0,
+            "maxRetryAfter": 500.0,
+            "mayDuplicate": True,
+            "peers": False,
+            "probing": False,
+            "retryAfter": True,
+            "streamsPerConn": 1,
+            "tryLimit": 5,
+        },
+        "safety": {
+            "askWithin": 10000.0,
+            "coldFrom": 0.4,
+            "drainGrace": 2000.0,
+            "fall": 1000.0,
+            "fallMultiple": 4.0,
+            "graceToAnswer": 20.0,
+            "warmAfter": 5000.0,
+        },
+        "familyInfo": {
+            "ballotTtl": 6000.0,
+            "callTimeout": 800.0,
+            "closedStages": 0,
+            "control": "by_count",
+            "foundShare": 0.3,
+            "leastStage": 1000.0,
+            "mostShares": [0.12, 0.42, 1.0],
+            "noesNeeded": 1,
+            "oneWay": False,
+            "per": "all",
+            "repeatEvery": 4000.0,
+            "span": 4000.0,
+            "spareTries": 1.0,
+            "steps": [0.1, 0.35, 1.0],
+            "style": "parallel",
+            "voteAllowance": 250.0,
+            "votesToGo": 1,
+        },
+        "classes": [
+            {"name": "view", "effect": "retryable", "aim": 1000.0, "hardLimit": 3000.0, "worth": 1.0},
+            {
+                "name": "order",
+                "effect": "dedup",
+                "dedupScope": "all",
+                "window": 2000.0,
+                "aim": 750.0,
+                "hardLimit": 3000.0,
+                "worth": 3.0,
+            },
+            {"name": "issue", "effect": "fragile", "aim": 1000.0, "hardLimit": 3000.0, "worth": 2.0},
+        ],
+    }
+    for section, members in changes.items():
+        base[section] = {**base[section], **members} if isinstance(members, dict) else members
+    return base
+
+
+class Agent:
+    """The agent under test: a process started with the line `run` of the deploy file."""
+
+    def __init__(self, record: Record, folder: Path, discovery: Discovery, service: ReleaseService) -> None:
+        self.record, self.folder = record, folder
+        self.address = unused_address()
+        self.log = folder / "agent.log"
+        self.config = {
+            "name": "n0",
+            "listen": self.address,
+            "seed": os.urandom(8).hex(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "peer_listen": unused_address(),
+            "peers": [],
+            "settings": settings(),
+            "known": discovery.known(),
+            "discovery": discovery.address,
+            "pipeline": {"address": service.address, "news": service.news()},
+        }
+        self.process: asyncio.subprocess.Process | None = None
+
+    def write_config(self) -> None:
+        """Replaces the configuration file as a whole."""
+        new = self.folder / "config.new"
+        new.write_text(json.dumps(self.config), encoding="utf-8")
+        new.replace(self.folder / "config.json")
+
+    async def start(self) -> None:
+        """Starts the process, and waits until it is ready."""
+        self.write_config()
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
+        environment = {
+            **os.environ,
+            "EDGE_CONFIG": str(self.folder / "config.json"),
+            "TMPDIR": str(self.folder),
+        }
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+        began = time.monotonic()
+        while time.monotonic() - began < READY_WITHIN:
+            if self.process.returncode is not None:
+                raise CannotRunError(f"the agent ended: {self.log.read_text(encoding='utf-8')[-500:]}")
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(*split(self.address))
+                writer.write(b"GET /-/ready HTTP/1.1\r\nHost: backend.local\r\n\r\n")
+                ready = (await read_message(reader)).status == 200  # noqa: PLR2004 - HTTP's OK
+                writer.close()
+                if ready:
+                    self.record.write("agent_ready")
+                    return
+            await asyncio.sleep(0.05)
+        raise CannotRunError("the agent was not ready in time")
+
+    def signal(self, number: signal.Signals) -> float:
+        """Sends a signal; returns when."""
+        self.process.send_signal(number)
+        return self.record.write("signal", name=number.name)
+
+    async def stop(self) -> None:
+        """Ends the process."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+@dataclass
+class Asked:
+    """One request of a client, and what came of it.
+
+    Attributes:
+        id: Its id.
+        at: When its last byte was written.
+        limit: Its time limit in seconds.
+        status: The status of the answer; 0: none came.
+        ended: When the answer was whole, or the wait for it ended.
+        body: The answer's body.
+        failure: Why there was no answer.
+    """
+
+    id: str
+    at: float
+    limit: float
+    status: int = 0
+    ended: float = 0.0
+    body: bytes = b""
+    failure: str = ""
+
+
+@dataclass
+class Clients:
+    """Sound clients: one request at a time on a connection, connections kept, more opened at need.
+
+    A request that crosses the end of a kept connection is sent once more, on a new one.
+    """
+
+    record: Record
+    address: str
+    asked: list[Asked] = field(default_factory=list)
+    _idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = field(default_factory=list)
+    _count: int = 0
+
+    def request(self, operation: str, limit: float, key: str = "", body: bytes = b"") -> tuple[str, bytes]:
+        """Returns a new id and a request."""
+        self._count += 1
+        request_id = f"{self._count:08x}{os.urandom(4).hex()}"
+        lines = [
+            f"{'GET' if operation == 'view' else 'POST'} /{operation}/x HTTP/1.1",
+            "Host: backend.local",
+            f"X-Request-ID: {request_id}",
+            f"X-Priority-Class: {operation}",
+            "X-Tenant-Id: acme",
+            f"X-Timeout: {limit * 1000:.0f}m",
+        ]
+        if key:
+            lines.append(f"X-Route-Key: {key}")
+        if operation != "view":
+            lines += [f"Idempotency-Key: {os.urandom(16).hex()}", f"Content-Length: {len(body)}"]
+        return request_id, ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    async def ask(
+        self, operation: str = "view", limit: float = 3.0, key: str = "", body: bytes = b""
+    ) -> Asked:
+        """Sends one request, and waits for its answer."""
+        request_id, data = self.request(operation, limit, key, body)
+        asked = Asked(request_id, self.record.now(), limit)
+        self.asked.append(asked)
+        try:
+            async with asyncio.timeout(limit + LATE_ANSWER):
+                message = await self._exchange(data, asked, operation, key)
+                asked.status, asked.body = message.status, message.body
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            asked.failure = type(error).__name__
+        asked.ended = self.record.write(
+            "answer", id=request_id, status=asked.status, failure=asked.failure or "-"
+        )
+        return asked
+
+    async def _exchange(self, data: bytes, asked: Asked, operation: str, key: str) -> Message:
+        while self._idle:
+            reader, writer = self._idle.pop()
+            if reader.at_eof():
+                writer.close()
+                continue
+            try:
+                return await self._exchange_on(reader, writer, data, asked, operation, key)
+            except (OSError, asyncio.IncompleteReadError) as error:
+                writer.close()
+                if getattr(error, "partial", b""):
+                    raise
+                self.record.write("crossed", id=asked.id)
+                break
+        reader, writer = await asyncio.open_connection(*split(self.address))
+        return await self._exchange_on(reader, writer, data, asked, operation, key)
+
+    async def _exchange_on(  # noqa: PLR0913, PLR0917 - the connection, the request and what is recorded of it
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        data: bytes,
+        asked: Asked,
+        operation: str,
+        key: str,
+    ) -> Message:
+        try:
+            writer.write(data)
+            asked.at = self.record.write("request", id=asked.id, operation=operation, key=key or "-")
+            message = await read_message(reader)
+        except asyncio.CancelledError:  # the client has waited for long enough, and goes
+            writer.close()
+            raise
+        if message.headers.get("connection", "").lower() == "close":
+            writer.close()
+        else:
+            self._idle.append((reader, writer))
+        return message
+
+    async def load(self, rate: float, seconds: float, **more: Any) -> None:
+        """Asks at a rate for some time, and waits for all answers."""
+        began, tasks = time.monotonic(), []
+        while (passed := time.monotonic() - began) < seconds:
+            while len(tasks) < passed * rate:
+                tasks.append(asyncio.ensure_future(self.ask(**more)))
+            await asyncio.sleep(0.2 / rate)
+        await asyncio.gather(*tasks)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for _, writer in self._idle:
+            writer.close()
+
+
+def late_attempts(leaving: Sequence[Appliance], allowed_until: float, since: float) -> str | None:
+    """Returns what broke the rule on drains, or None.
+
+    Args:
+        leaving: Servers that drain.
+        allowed_until: From then on they may get nothing new.
+        since: The time from which the result counts.
+    """
+    late = sorted(
+        attempt.at for server in leaving for attempt in server.attempts if attempt.at > allowed_until
+    )
+    if not late:
+        return None
+    return (
+        f"{len(late)} attempts were sent to draining servers, {late[0] - since:.2f} to "
+        f"{late[-1] - since:.2f} s; none is allowed after {allowed_until - since:.2f} s"
+    )
+
+
+def play(folder: Path, case: Callable[[Record, Path, bool], Awaitable[str | None]]) -> None:
+    """Plays a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+
+    Args:
+        folder: Where `record.txt` goes.
+        case: Returns what broke the rule, or None; it is told whether the disruption is wanted.
+    """
+    record = Record(folder / "record.txt")
+    scratch = Path(tempfile.mkdtemp(prefix="review-"))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    try:
+        broken = asyncio.run(case(record, scratch, trouble))
+        verdict = RULE_HELD if broken is None else RULE_BROKEN
+        text = "the rule held" if broken is None else f"the rule was broken: {broken}"
+    except (CannotRunError, OSError) as error:
+        verdict, text = COULD_NOT_RUN, f"the case could not run: {error}"
+    record.write("verdict", trouble=int(trouble), text=repr(text))
+    if (log := scratch / "agent.log").exists():
+        record.write("agent_log", lines=repr(log.read_text(encoding="utf-8", errors="replace")[-4000:]))
+    record.close()
+    shutil.rmtree(scratch, ignore_errors=True)
+    print(text)
+    sys.exit(verdict)
