--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -296,6 +296,7 @@
         super().__init__()
         self.record, self.state, self.since = record, state, time.monotonic() - 60
         self.listeners: set[asyncio.StreamWriter] = set()
+        self._pings: dict[asyncio.StreamWriter, asyncio.Task] = {}
 
     def news(self) -> dict[str, Any]:
         """Returns the state of the newest build."""
@@ -308,7 +309,6 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers calls in turn."""
-        pings: asyncio.Task | None = None
         try:
             while data := await reader.readline():
                 call = json.loads(data)
@@ -317,13 +317,17 @@
                     writer.write(self.line(id=call["id"], result=True))
                     writer.write(self.line(method="news", params=self.news()))
                     self.listeners.add(writer)
-                    pings = asyncio.ensure_future(self._ping(writer))
+                    self._pings[writer] = asyncio.ensure_future(self._ping(writer))
                 else:
                     writer.write(self.line(id=call["id"], result=self.news()))
         finally:
-            self.listeners.discard(writer)
-            if pings is not None:
-                pings.cancel()
+            self.silence(writer)
+
+    def silence(self, writer: asyncio.StreamWriter) -> None:
+        """Writes no more news and no sign of life to a listener; its connection stays open."""
+        self.listeners.discard(writer)
+        if (pings := self._pings.pop(writer, None)) is not None:
+            pings.cancel()
 
     async def _ping(self, writer: asyncio.StreamWriter) -> None:
         while True:
