--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Case 6: a bad client names the id of another client's open request beside one of its own."""
+"""Case 6: a bad client repeats the id of another client's side-effecting request for over a minute."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import sys
+from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -15,6 +16,7 @@
     RELEASED,
     Agent,
     Appliance,
+    CannotRunError,
     Clients,
     Discovery,
     Message,
@@ -27,94 +29,105 @@
 )
 
 # Seconds.
-WORK = 0.4  # of each request, so that others are open when the bad client comes
+QUIET = 1.0  # before the request whose id is taken
+LONG_WORK = 1.0  # of that request
+WORK = 0.02  # of all others
 OWED_WITHIN = 3.0  # an error or a close, to a bad client
-LENGTH = 6.0
-BETWEEN = 0.5  # one bad client and the next
-RATE = 20.0
-
-
-class Bad:
-    """Bad clients, one after another.
-
-    Attributes:
-        ids: The ids that they have sent.
-        unanswered: Those that got neither an error nor a close in time.
-    """
-
-    def __init__(self, record: Record, address: str) -> None:
-        self.record, self.address = record, address
-        self.ids: set[str] = set()
-        self.unanswered = 0
-
-    async def ask(self, open_id: str) -> None:
-        """Sends one request with two ids; waits for what it is owed."""
-        own_id = f"bad{os.urandom(6).hex()}"
-        self.ids.add(own_id)
-        head = [
-            "POST /order/x HTTP/1.1",
-            "Host: backend.local",
-            f"X-Request-ID: {own_id}",
-            f"X-Request-ID: {open_id}",
-            "X-Priority-Class: order",
-            "X-Timeout: 2000m",
-            f"Idempotency-Key: {os.urandom(16).hex()}",
-            "Content-Length: 4",
-        ]
-        reader, writer = await asyncio.open_connection(*split(self.address))
-        writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + b"body")
-        self.record.write("bad_request", id=own_id, second=open_id)
+REPEATED_FOR = 75.0
+PAUSE = 0.05  # between being turned away and the next time
+RATE = 10.0
+OK = 200
+
+
+class Appliances:
+    """What all appliances have run: how often, by the request's id."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.ran: Counter[str] = Counter()
+        self.long: set[str] = set()  # ids of requests that take long
+
+    async def serve(self, request: Message) -> bytes:
+        """Runs a request, and answers it."""
+        request_id = request.headers["x-request-id"]
+        self.ran[request_id] += 1
+        times = self.ran[request_id]
+        self.record.write("run", id=request_id, times=times)
+        await asyncio.sleep(LONG_WORK if request_id in self.long else WORK)
+        return answer(OK, f"answer to {request_id}".encode())
+
+
+async def repeat(record: Record, address: str, request_id: str, seconds: float) -> Counter[str]:
+    """Sends the same request again as soon as it is turned away; returns how often each answer came."""
+    head = [
+        "POST /issue/x HTTP/1.1",
+        "Host: backend.local",
+        f"X-Request-ID: {request_id}",
+        "X-Priority-Class: issue",
+        "X-Timeout: 2000m",
+        f"Idempotency-Key: {os.urandom(16).hex()}",
+        "Content-Length: 4",
+    ]
+    data = ("\r\n".join(head) + "\r\n\r\n").encode() + b"body"
+    answers: Counter[str] = Counter()
+    until = record.now() + seconds
+    while record.now() < until:
         status = "closed"
-        try:
-            async with asyncio.timeout(OWED_WITHIN):
-                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(*split(address))
+            record.write("bad_request", id=request_id)
+            writer.write(data)
+            try:
+                async with asyncio.timeout(OWED_WITHIN):
                     status = str((await read_message(reader)).status)
-        except TimeoutError:
-            status = "none"
-            self.unanswered += 1
-        self.record.write("bad_answer", id=own_id, status=status)
-        writer.close()
+            except TimeoutError:
+                status = "none"
+            writer.close()
+        record.write("bad_answer", id=request_id, status=status)
+        answers[status] += 1
+        if status == str(OK):
+            break  # it was not turned away
+        await asyncio.sleep(PAUSE)
+    return answers
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> str | None:
     """Plays it; returns what broke the rule."""
-    appliances = [await Appliance(f"s{number}", record, work=WORK).start() for number in range(4)]
+    runs = Appliances(record)
+    appliances = [await Appliance(f"s{number}", record).start() for number in range(4)]
+    for server in appliances:
+        server.script = runs.serve
     discovery = await Discovery(record, [each.entry() for each in appliances]).start()
     service = await ReleaseService(record, RELEASED).start()
     agent = Agent(record, folder, discovery, service)
-    clients, bad = Clients(record, agent.address), Bad(record, agent.address)
-
-    def sent_ids() -> set[str]:
-        return {asked.id for asked in clients.asked} | bad.ids
-
-    async def serve(request: Message) -> bytes:
-        if request.headers.get("x-request-id", "") not in sent_ids():
-            return answer(400)
-        await asyncio.sleep(WORK)
-        return answer(200, b"answer to " + request.headers["x-request-id"].encode())
-
-    for server in appliances:
-        server.script = serve
+    clients = Clients(record, agent.address)
     try:
         await agent.start()
-        load = asyncio.ensure_future(clients.load(RATE, LENGTH, operation="order", body=b"body"))
-        while not load.done():
-            await asyncio.sleep(BETWEEN)
-            waiting = [asked.id for asked in clients.asked if not asked.ended]
-            if trouble and waiting:
-                await bad.ask(waiting[-1])
-        await load
+        load = asyncio.ensure_future(
+            clients.load(RATE, QUIET + REPEATED_FOR, operation="issue", body=b"body")
+        )
+        await asyncio.sleep(QUIET)
+        waiting = asyncio.ensure_future(clients.ask(operation="issue", body=b"body"))
+        await asyncio.sleep(0)  # it has its id from here on
+        victim = clients.asked[-1].id
+        runs.long.add(victim)
+        while not runs.ran[victim]:
+            await asyncio.sleep(WORK)
+        answers = await repeat(record, agent.address, victim, REPEATED_FOR) if trouble else Counter()
+        if (await waiting).status != OK:
+            raise CannotRunError("the request whose id is repeated was not served")
+        load.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await load
     finally:
         clients.close()
         await agent.stop()
         for server in (*appliances, discovery, service):
             server.stop()
-    foreign = [
-        attempt.id for server in appliances for attempt in server.attempts if attempt.id not in sent_ids()
-    ]
-    if not foreign:
+    twice = [request_id for request_id, times in runs.ran.items() if times > 1]
+    if not twice:
         return None
-    return f"{len(foreign)} attempts had ids that no client sent, such as {foreign[0]!r}"
+    return f"side-effecting requests ran more than once: {twice}; the bad copy was answered {dict(answers)}"
 
 
 play(HERE, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,10 @@
-"""Case 8: an agent starts while discovery has too many callers for 44 s."""
+"""Case 8: appliances' answers whose length does not fit."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -15,45 +16,69 @@
     Appliance,
     Clients,
     Discovery,
+    Message,
     Record,
     ReleaseService,
-    late_attempts,
+    answer,
     play,
 )
 
-# Seconds.
-CROWDED_FOR = 44.0  # from the agent's start
-TOLD_AFTER = 6.0  # at the latest, after discovery had a change and could be reached
-GRACE = 2.0  # safety.drainGrace
-SLACK = 0.05 + 0.15  # each time limit is 50 ms longer; an agent may be held up for 0.15 s
-RATE = 20.0
+OK = 200
+SPOILT_EVERY = 10  # attempts at an appliance
+LENGTH = 6.0  # seconds
+RATE = 40.0
+WORK = 0.02  # seconds
+
+
+def made_for(request_id: str) -> bytes:
+    """Returns the one right body of an answer to this request."""
+    return f'{{"order":"{request_id}","state":"accepted","lines":[1,2,3],"fee":125}}'.encode()
+
+
+def script(record: Record, server: str, trouble: bool) -> Callable[[Message], Awaitable[bytes]]:
+    """Returns what answers the requests of one appliance: now and then with a length that does not fit."""
+    count = 0
+
+    async def serve(request: Message) -> bytes:
+        nonlocal count
+        count += 1
+        await asyncio.sleep(WORK)
+        request_id = request.headers["x-request-id"]
+        body = made_for(request_id)
+        if trouble and count % SPOILT_EVERY == 0:
+            record.write("spoilt_answer", server=server, id=request_id)
+            return answer(OK, body[: len(body) // 2]) + body[len(body) // 2 :]
+        return answer(OK, body)
+
+    return serve
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> str | None:
     """Plays it; returns what broke the rule."""
     appliances = [await Appliance(f"s{number}", record).start() for number in range(4)]
-    leaving = appliances[2:]
+    for server in appliances:
+        server.script = script(record, server.name, trouble)
     discovery = await Discovery(record, [each.entry() for each in appliances]).start()
     service = await ReleaseService(record, RELEASED).start()
-    discovery.crowded = trouble
     agent = Agent(record, folder, discovery, service)
     clients = Clients(record, agent.address)
     try:
-        began = record.now()
         await agent.start()
-        for server in leaving:
-            server.draining = True
-            changed = discovery.change(server.name, status="draining")
-        load = asyncio.ensure_future(clients.load(RATE, began + CROWDED_FOR + 1.0 - record.now()))
-        await asyncio.sleep(began + CROWDED_FOR - record.now())
-        discovery.crowded = False
-        await load
+        await clients.load(RATE, LENGTH, operation="order", body=b"body")
     finally:
         clients.close()
         await agent.stop()
         for server in (*appliances, discovery, service):
             server.stop()
-    return late_attempts(leaving, changed + TOLD_AFTER + GRACE + SLACK, changed)
+    wrong = [asked for asked in clients.asked if asked.status == OK and asked.body != made_for(asked.id)]
+    for asked in wrong:
+        record.write("wrong_body", id=asked.id, body=repr(asked.body))
+    if not wrong:
+        return None
+    return (
+        f"{len(wrong)} of {len(clients.asked)} requests were answered 200 with another body than the answer "
+        f"made for them, such as {wrong[0].body!r}"
+    )
 
 
 play(HERE, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,9 @@
-"""Case 9: discovery is down for half a second, and has too many callers when it is back."""
+"""Case 9: a new configuration while the discovery that it names is crowded."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -22,12 +23,12 @@
 )
 
 # Seconds.
-QUIET = 3.0  # before discovery goes down
-DOWN_FOR = 0.5
-TOLD_AFTER = 6.0  # at the latest, after discovery had a change and could be reached
+QUIET = 3.0  # before SIGHUP
+CHANGED_AFTER = 2.0  # after SIGHUP two servers begin to drain
+TOLD_AFTER = 4.0  # after SIGHUP whatever discovery has to tell counts as told
 GRACE = 2.0  # safety.drainGrace
 SLACK = 0.05 + 0.15  # each time limit is 50 ms longer; an agent may be held up for 0.15 s
-CROWDED_FOR = 11.0  # after its return
+CROWDED_FOR = 9.0  # after SIGHUP
 RATE = 80.0
 
 
@@ -35,29 +36,33 @@
     """Plays it; returns what broke the rule."""
     appliances = [await Appliance(f"s{number}", record).start() for number in range(4)]
     leaving = appliances[2:]
-    discovery = await Discovery(record, [each.entry() for each in appliances]).start()
+    old = await Discovery(record, [each.entry() for each in appliances]).start()
     service = await ReleaseService(record, RELEASED).start()
-    agent = Agent(record, folder, discovery, service)
+    agent = Agent(record, folder, old, service)
     clients = Clients(record, agent.address)
     try:
         await agent.start()
-        load = asyncio.ensure_future(clients.load(RATE, QUIET + DOWN_FOR + CROWDED_FOR + 2.0))
+        load = asyncio.ensure_future(clients.load(RATE, QUIET + CROWDED_FOR + 2.0))
         await asyncio.sleep(QUIET)
-        if trouble:
-            discovery.crowded = True
-            await discovery.restart(DOWN_FOR)
+        new = await old.moved()
+        new.crowded = trouble
+        agent.config["discovery"] = new.address
+        agent.write_config()
+        hangup = agent.signal(signal.SIGHUP)
+        old.retire()
+        await asyncio.sleep(CHANGED_AFTER)
         for server in leaving:
             server.draining = True
-            changed = discovery.change(server.name, status="draining")
-        await asyncio.sleep(CROWDED_FOR)
-        discovery.crowded = False
+            new.change(server.name, status="draining")
+        await asyncio.sleep(CROWDED_FOR - CHANGED_AFTER)
+        new.crowded = False
         await load
     finally:
         clients.close()
         await agent.stop()
-        for server in (*appliances, discovery, service):
+        for server in (*appliances, old, new, service):
             server.stop()
-    return late_attempts(leaving, changed + TOLD_AFTER + GRACE + SLACK, changed)
+    return late_attempts(leaving, hangup + TOLD_AFTER + GRACE + SLACK, hangup)
 
 
 play(HERE, case)
