Review case 10: spoilt news is passed over, and a build that goes back keeps its share

Cause: a line whose method cannot be read is ignored, where any other spoilt line ends its connection. Added: the case with its claim.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # standard library alone, run by the interpreter of that build: they are compiled here, so that a fault shows.
 set -eu
 cd "$(dirname "$0")/.."
-.venv/bin/python -s -m compileall -q review/second review/6 review/7 review/8 review/9
+.venv/bin/python -s -m compileall -q review/second review/6 review/7 review/8 review/9 review/10
