Review cases 6 to 10: signals end a script in order, and no error of its own counts as 1

Cause: SIGTERM and SIGHUP left the agent, an exception of the script or a failed import ended it with 1, and a port could be taken by an outgoing connection. Change: each ends with 2; ports come from below those of outgoing connections.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -38,6 +38,7 @@
     leaving = appliances[2:]
     old = await Discovery(record, [each.entry() for each in appliances]).start()
     service = await ReleaseService(record, RELEASED).start()
+    servers = [*appliances, old, service]
     agent = Agent(record, folder, old, service)
     clients = Clients(record, agent.address)
     try:
@@ -45,6 +46,7 @@
         load = asyncio.ensure_future(clients.load(RATE, QUIET + CROWDED_FOR + 2.0))
         await asyncio.sleep(QUIET)
         new = await old.moved()
+        servers.append(new)
         new.crowded = trouble
         agent.config["discovery"] = new.address
         agent.write_config()
@@ -60,7 +62,7 @@
     finally:
         clients.close()
         await agent.stop()
-        for server in (*appliances, old, new, service):
+        for server in servers:
             server.stop()
     return late_attempts(leaving, hangup + TOLD_AFTER + GRACE + SLACK, hangup)
 
--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -17,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -35,6 +36,8 @@
 LATE_ANSWER = 0.5  # past its time limit a request may still get its answer
 
 MAX_HEAD = 64 * 1024
+PORTS = 20_000, 32_000
+PORT_TRIES = 100
 
 
 class CannotRunError(Exception):
@@ -91,10 +94,16 @@
 
 
 def unused_address() -> str:
-    """Returns a free loopback address."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Returns a free loopback address, below the ports that outgoing connections take.
+
+    Raises:
+        CannotRunError: None was found.
+    """
+    for _ in range(PORT_TRIES):
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", random.randrange(*PORTS)))
+            return f"127.0.0.1:{sock.getsockname()[1]}"
+    raise CannotRunError("no free port was found")
 
 
 def split(address: str) -> tuple[str, int]:
@@ -268,15 +277,6 @@
             self._write(writer, json.dumps(self.document(False, [self.entries[name]])))
         return self.record.write("change", index=self.index, name=name, told=len(self._watches), **fields)
 
-    async def restart(self, away: float) -> float:
-        """Ends all connections, refuses new ones for so many seconds, and is back; returns when."""
-        port = split(self.address)[1]
-        self.stop()
-        self.record.write("discovery_down")
-        await asyncio.sleep(away)
-        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", port, limit=MAX_HEAD)
-        return self.record.write("discovery_back")
-
     async def moved(self) -> Discovery:
         """Returns this service at another address; call `retire` on the old one at SIGHUP."""
         other = Discovery(self.record, list(self.entries.values()))
@@ -629,7 +629,7 @@
     )
 
 
-def play(folder: Path, case: Callable[[Record, Path, bool], Awaitable[str | None]]) -> None:
+def play(folder: Path, case: Callable[[Record, Path, bool], Coroutine[Any, Any, str | None]]) -> None:
     """Plays a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
     Args:
@@ -640,11 +640,13 @@
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(case(record, scratch, trouble))
+        broken = asyncio.run(_ended_by_signals(case(record, scratch, trouble)))
         verdict = RULE_HELD if broken is None else RULE_BROKEN
         text = "the rule held" if broken is None else f"the rule was broken: {broken}"
-    except (CannotRunError, OSError) as error:
-        verdict, text = COULD_NOT_RUN, f"the case could not run: {error}"
+    except asyncio.CancelledError:
+        verdict, text = COULD_NOT_RUN, "the case was ended by a signal"
+    except Exception as error:  # whatever it is, it says nothing about the rule
+        verdict, text = COULD_NOT_RUN, f"the case could not run: {error!r}"
     record.write("verdict", trouble=int(trouble), text=repr(text))
     if (log := scratch / "agent.log").exists():
         record.write("agent_log", lines=repr(log.read_text(encoding="utf-8", errors="replace")[-4000:]))
@@ -652,3 +654,11 @@
     shutil.rmtree(scratch, ignore_errors=True)
     print(text)
     sys.exit(verdict)
+
+
+async def _ended_by_signals(case: Coroutine[Any, Any, str | None]) -> str | None:
+    """Runs a case; a signal ends it in order, so that it ends the processes that it has started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await case
