--- a/review/6/case.py
+++ b/review/6/case.py
@@ -75,7 +75,7 @@
         status = "closed"
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection(*split(address))
-            record.write("bad_request", id=request_id)
+            record.write("bad_request", id=request_id, bytes=data)
             writer.write(data)
             try:
                 async with asyncio.timeout(OWED_WITHIN):
@@ -111,23 +111,23 @@
         await asyncio.sleep(0)  # it has its id from here on
         victim = clients.asked[-1].id
         runs.long.add(victim)
-        while not runs.ran[victim]:
+        while not runs.ran[victim] and not waiting.done():
             await asyncio.sleep(WORK)
         answers = await repeat(record, agent.address, victim, REPEATED_FOR) if trouble else Counter()
         if (await waiting).status != OK:
             raise CannotRunError("the request whose id is repeated was not served")
-        load.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await load
+        await load
     finally:
+        agent.stop()
         clients.close()
-        await agent.stop()
         for server in (*appliances, discovery, service):
             server.stop()
     twice = [request_id for request_id, times in runs.ran.items() if times > 1]
+    for request_id in twice:
+        record.write("ran_more_than_once", id=request_id, times=runs.ran[request_id])
     if not twice:
         return None
     return f"side-effecting requests ran more than once: {twice}; the bad copy was answered {dict(answers)}"
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -66,13 +66,13 @@
         await agent.start()
         await clients.load(RATE, LENGTH, operation="order", body=b"body")
     finally:
+        agent.stop()
         clients.close()
-        await agent.stop()
         for server in (*appliances, discovery, service):
             server.stop()
     wrong = [asked for asked in clients.asked if asked.status == OK and asked.body != made_for(asked.id)]
     for asked in wrong:
-        record.write("wrong_body", id=asked.id, body=repr(asked.body))
+        record.write("wrong_body", id=asked.id, body=asked.body, made=made_for(asked.id))
     if not wrong:
         return None
     return (
@@ -81,4 +81,4 @@
     )
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -60,11 +60,11 @@
         new.crowded = False
         await load
     finally:
+        agent.stop()
         clients.close()
-        await agent.stop()
         for server in servers:
             server.stop()
-    return late_attempts(leaving, hangup + TOLD_AFTER + GRACE + SLACK, hangup)
+    return late_attempts(record, leaving, hangup + TOLD_AFTER + GRACE + SLACK, hangup)
 
 
-play(HERE, case)
+play(HERE / "record.txt", case)
--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -58,6 +59,9 @@
     def write(self, what: str, **facts: Any) -> float:
         """Writes a line; returns its time."""
         at = self.now()
+        facts = {
+            name: value if isinstance(value, (int, float)) else _shown(value) for name, value in facts.items()
+        }
         self._file.write(f"{at:.3f} {what}{''.join(f' {name}={value}' for name, value in facts.items())}\n")
         return at
 
@@ -66,13 +70,20 @@
         self._file.close()
 
 
+def _shown(value: Any) -> str:
+    """Returns a value as one word where it is one, else in quotes."""
+    text = value.decode("latin-1") if isinstance(value, bytes) else str(value)
+    return text if text and not set(text) & set(" \t\r\n=\"'\\") else repr(text)
+
+
 @dataclass
 class Message:
-    """A request or an answer: its first line, headers by lower-case name, body."""
+    """A request or an answer: its first line, headers by lower-case name, body, and the whole head."""
 
     line: str
     headers: dict[str, str]
     body: bytes = b""
+    head: str = ""
 
     @property
     def status(self) -> int:
@@ -82,9 +93,11 @@
 
 async def read_message(reader: asyncio.StreamReader) -> Message:
     """Reads one message with Content-Length; raises IncompleteReadError at the end."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    head = text.split("\r\n")
     headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:] if line)}
-    return Message(head[0], headers, await reader.readexactly(int(headers.get("content-length", 0))))
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Message(head[0], headers, body, text)
 
 
 def answer(status: int, body: bytes = b"", *headers: str) -> bytes:
@@ -201,7 +214,8 @@
                 continue
             at = self.record.now()
             self.attempts.append(Attempt(at, self.name, self.build, request))
-            self.record.write("attempt", server=self.name, id=request.headers.get("x-request-id", "-"))
+            request_id = request.headers.get("x-request-id", "-")
+            self.record.write("attempt", server=self.name, build=self.build, id=request_id, head=request.head)
             if self.script is not None:
                 data = await self.script(request)
                 if data is None:
@@ -211,6 +225,7 @@
             else:
                 await asyncio.sleep(self.work)
                 data = answer(200, self.body(request))
+            self.record.write("attempt_answered", server=self.name, id=request_id, bytes=data)
             writer.write(data)
 
     def body(self, request: Message) -> bytes:
@@ -249,10 +264,10 @@
         """Answers one call; a watch stays open."""
         call = await read_message(reader)
         self.calls += 1
-        self.record.write("discovery_call", at=self.address, line=repr(call.line), crowded=self.crowded)
+        self.record.write("discovery_call", at=self.address, line=call.line, crowded=int(self.crowded))
         if self.crowded:
             await asyncio.sleep(QUEUE_TIME)
-            self.record.write("discovery_answer", status=503)
+            self.record.write("discovery_answer", at=self.address, status=503)
             writer.write(answer(503))
             return
         if "watch=1" not in call.line:
@@ -260,7 +275,7 @@
             return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self._write(writer, json.dumps(self.known()))
-        self.record.write("discovery_answer", status=200, index=self.index)
+        self.record.write("discovery_answer", at=self.address, status=200, object=json.dumps(self.known()))
         self._watches.add(writer)
         try:
             while True:
@@ -273,9 +288,10 @@
         """Changes an entry, and tells the watches that stand; returns when."""
         self.index += 1
         self.entries[name] = {**self.entries[name], **fields}
+        change = json.dumps(self.document(False, [self.entries[name]]))
         for writer in self._watches:
-            self._write(writer, json.dumps(self.document(False, [self.entries[name]])))
-        return self.record.write("change", index=self.index, name=name, told=len(self._watches), **fields)
+            self._write(writer, change)
+        return self.record.write("change", at=self.address, watches=len(self._watches), object=change)
 
     async def moved(self) -> Discovery:
         """Returns this service at another address; call `retire` on the old one at SIGHUP."""
@@ -285,6 +301,7 @@
 
     def retire(self) -> None:
         """Accepts nothing new, and closes open connections after 1.5 s."""
+        self.record.write("discovery_retires", at=self.address)
         self.stop_listening()
         asyncio.get_running_loop().call_later(OLD_ADDRESS_STAYS, self.stop)
 
@@ -296,7 +313,6 @@
         super().__init__()
         self.record, self.state, self.since = record, state, time.monotonic() - 60
         self.listeners: set[asyncio.StreamWriter] = set()
-        self._pings: dict[asyncio.StreamWriter, asyncio.Task] = {}
 
     def news(self) -> dict[str, Any]:
         """Returns the state of the newest build."""
@@ -309,41 +325,47 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers calls in turn."""
+        pings: asyncio.Task | None = None
         try:
             while data := await reader.readline():
                 call = json.loads(data)
-                self.record.write("release_call", method=call.get("method"))
+                self.record.write("release_call", line=data)
                 if call.get("method") == "listen":
-                    writer.write(self.line(id=call["id"], result=True))
-                    writer.write(self.line(method="news", params=self.news()))
+                    self._send(writer, self.line(id=call["id"], result=True))
+                    self._send(writer, self.line(method="news", params=self.news()))
                     self.listeners.add(writer)
-                    self._pings[writer] = asyncio.ensure_future(self._ping(writer))
+                    pings = asyncio.ensure_future(self._ping(writer))
                 else:
-                    writer.write(self.line(id=call["id"], result=self.news()))
+                    self._send(writer, self.line(id=call["id"], result=self.news()))
         finally:
-            self.silence(writer)
+            self.listeners.discard(writer)
+            if pings is not None:
+                pings.cancel()
 
-    def silence(self, writer: asyncio.StreamWriter) -> None:
-        """Writes no more news and no sign of life to a listener; its connection stays open."""
-        self.listeners.discard(writer)
-        if (pings := self._pings.pop(writer, None)) is not None:
-            pings.cancel()
+    def _send(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        self.record.write("release_wrote", line=line)
+        writer.write(line)
 
     async def _ping(self, writer: asyncio.StreamWriter) -> None:
         while True:
             await asyncio.sleep(PING)
-            writer.write(self.line(method="ping"))
+            self._send(writer, self.line(method="ping"))
 
     def tell(self, **state: Any) -> float:
         """Changes the state, and tells the listeners; returns when."""
         self.set_state(**state)
+        return self.tell_listeners(self.line(method="news", params=self.news()))
+
+    def tell_listeners(self, line: bytes) -> float:
+        """Writes a line to all listeners; returns when."""
         for writer in self.listeners:
-            writer.write(self.line(method="news", params=self.news()))
-        return self.record.write("news", listeners=len(self.listeners), **self.state)
+            self._send(writer, line)
+        return self.record.now()
 
     def set_state(self, **state: Any) -> None:
         """Changes the state without telling it."""
-        self.state, self.since = {**self.state, **state}, time.monotonic()
+        if state:
+            self.state, self.since = {**self.state, **state}, time.monotonic()
 
 
 RELEASED = {"build": 41, "stage": 2, "phase": "live", "cap": 1.0}
@@ -436,13 +458,14 @@
             "discovery": discovery.address,
             "pipeline": {"address": service.address, "news": service.news()},
         }
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: subprocess.Popen | None = None
 
     def write_config(self) -> None:
         """Replaces the configuration file as a whole."""
         new = self.folder / "config.new"
         new.write_text(json.dumps(self.config), encoding="utf-8")
         new.replace(self.folder / "config.json")
+        self.record.write("config", json=json.dumps(self.config))
 
     async def start(self) -> None:
         """Starts the process, and waits until it is ready."""
@@ -453,13 +476,14 @@
             "EDGE_CONFIG": str(self.folder / "config.json"),
             "TMPDIR": str(self.folder),
         }
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log
+        with self.log.open("ab") as log:  # no signal can come between the start and what ends it
+            self.process = subprocess.Popen(
+                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        self.record.write("agent_started", pid=self.process.pid, run=run)
         began = time.monotonic()
         while time.monotonic() - began < READY_WITHIN:
-            if self.process.returncode is not None:
+            if self.process.poll() is not None:
                 raise CannotRunError(f"the agent ended: {self.log.read_text(encoding='utf-8')[-500:]}")
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 reader, writer = await asyncio.open_connection(*split(self.address))
@@ -477,11 +501,16 @@
         self.process.send_signal(number)
         return self.record.write("signal", name=number.name)
 
-    async def stop(self) -> None:
-        """Ends the process."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+    def stop(self) -> None:
+        """Ends the process, and keeps its log in the record."""
+        if self.process is None:
+            return
+        by_itself = self.process.poll() is not None
+        self.process.kill()
+        code = self.process.wait()
+        self.record.write("agent_ended", pid=self.process.pid, by_itself=int(by_itself), code=code)
+        for line in self.log.read_text(encoding="utf-8", errors="replace").splitlines():
+            self.record.write("agent_log", line=line)
 
 
 @dataclass
@@ -547,23 +576,23 @@
         self.asked.append(asked)
         try:
             async with asyncio.timeout(limit + LATE_ANSWER):
-                message = await self._exchange(data, asked, operation, key)
+                message = await self._exchange(data, asked)
                 asked.status, asked.body = message.status, message.body
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             asked.failure = type(error).__name__
         asked.ended = self.record.write(
-            "answer", id=request_id, status=asked.status, failure=asked.failure or "-"
+            "answer", id=request_id, status=asked.status, body=asked.body, failure=asked.failure or "-"
         )
         return asked
 
-    async def _exchange(self, data: bytes, asked: Asked, operation: str, key: str) -> Message:
+    async def _exchange(self, data: bytes, asked: Asked) -> Message:
         while self._idle:
             reader, writer = self._idle.pop()
             if reader.at_eof():
                 writer.close()
                 continue
             try:
-                return await self._exchange_on(reader, writer, data, asked, operation, key)
+                return await self._exchange_on(reader, writer, data, asked)
             except (OSError, asyncio.IncompleteReadError) as error:
                 writer.close()
                 if getattr(error, "partial", b""):
@@ -571,20 +600,15 @@
                 self.record.write("crossed", id=asked.id)
                 break
         reader, writer = await asyncio.open_connection(*split(self.address))
-        return await self._exchange_on(reader, writer, data, asked, operation, key)
-
-    async def _exchange_on(  # noqa: PLR0913, PLR0917 - the connection, the request and what is recorded of it
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        data: bytes,
-        asked: Asked,
-        operation: str,
-        key: str,
+        return await self._exchange_on(reader, writer, data, asked)
+
+    async def _exchange_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, data: bytes, asked: Asked
     ) -> Message:
         try:
             writer.write(data)
-            asked.at = self.record.write("request", id=asked.id, operation=operation, key=key or "-")
+            head = data.partition(b"\r\n\r\n")[0]
+            asked.at = self.record.write("request", id=asked.id, bytes=len(data), head=head)
             message = await read_message(reader)
         except asyncio.CancelledError:  # the client has waited for long enough, and goes
             writer.close()
@@ -610,17 +634,27 @@
             writer.close()
 
 
-def late_attempts(leaving: Sequence[Appliance], allowed_until: float, since: float) -> str | None:
+def late_attempts(
+    record: Record, leaving: Sequence[Appliance], allowed_until: float, since: float
+) -> str | None:
     """Returns what broke the rule on drains, or None.
 
     Args:
+        record: Gets the bound, and each attempt after it.
         leaving: Servers that drain.
         allowed_until: From then on they may get nothing new.
         since: The time from which the result counts.
     """
-    late = sorted(
-        attempt.at for server in leaving for attempt in server.attempts if attempt.at > allowed_until
+    record.write("none_allowed_after", time=round(allowed_until, 3))
+    attempts = sorted(
+        (attempt.at, server.name, attempt.id)
+        for server in leaving
+        for attempt in server.attempts
+        if attempt.at > allowed_until
     )
+    for at, name, request_id in attempts:
+        record.write("too_late", at=round(at, 3), server=name, id=request_id)
+    late = [at for at, _, _ in attempts]
     if not late:
         return None
     return (
@@ -629,14 +663,14 @@
     )
 
 
-def play(folder: Path, case: Callable[[Record, Path, bool], Coroutine[Any, Any, str | None]]) -> None:
+def play(record_file: Path, case: Callable[[Record, Path, bool], Coroutine[Any, Any, str | None]]) -> None:
     """Plays a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
     Args:
-        folder: Where `record.txt` goes.
+        record_file: Where the record goes.
         case: Returns what broke the rule, or None; it is told whether the disruption is wanted.
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_file)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
@@ -647,9 +681,7 @@
         verdict, text = COULD_NOT_RUN, "the case was ended by a signal"
     except Exception as error:  # whatever it is, it says nothing about the rule
         verdict, text = COULD_NOT_RUN, f"the case could not run: {error!r}"
-    record.write("verdict", trouble=int(trouble), text=repr(text))
-    if (log := scratch / "agent.log").exists():
-        record.write("agent_log", lines=repr(log.read_text(encoding="utf-8", errors="replace")[-4000:]))
+    record.write("verdict", trouble=int(trouble), code=verdict, text=text)
     record.close()
     shutil.rmtree(scratch, ignore_errors=True)
     print(text)
