Node: an answer with more behind it than its length covers is no longer served

Cause: the parser noted that more had come than the answer's length covers, and the connection alone was closed for it. Line breaks behind an answer were not noted, nor a rest that still lay in the socket behind a full read.

Change: an answer is served only if nothing, or copies of it, came behind it. Anything else may be the rest of a longer body, and by its bytes nothing tells which: the attempt counts as lost and may have run. The last byte of a read is parsed by itself, and the socket is asked before an answer is reported. Logged as bad_answer; late_data tells of bytes that come when the answer has been served.

--- a/cartweir/hosting/tcp.py
+++ b/cartweir/hosting/tcp.py
@@ -151,6 +151,13 @@
             return error.errno in MOMENTARY_ERRORS
         return False
 
+    def has_data(self) -> bool:
+        """Whether data waits for the loop to report it."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def at_end(self) -> bool:
         """Whether the other side has closed the connection, also while data of it is unread."""
         if self._tells_state and closed_by_peer(self.socket):
--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -30,6 +30,7 @@
 REST_TIME = 20_000  # a second copy of a response may arrive some milliseconds after it
 CLIENT_CHECK_AGE = 1_000  # of an invocation; until then the loop itself has noticed a client that left
 NO_IDLE_LIMIT = 1 << 60
+MAX_LOGGED_REASON = 200  # characters
 
 HOST_HEADER = (b"Host", b"backend.local")
 
@@ -292,30 +293,42 @@
         self.pool.last_input = pools.now()
         request = self.request
         if request is None:  # nothing was requested: whatever follows here is not to be trusted
+            pools.log_event("late_data", address=self.pool.address, size=len(data))
             self.close()
             return
         try:
-            response = self.parser.feed(data)
+            self.parser.feed(data)
         except HttpError as error:
-            pools.log_event("bad_answer", address=self.pool.address, why=error.reason[:200])
+            self._log_bad_answer(error.reason)
             self._lost(error.reason, ours.RESET)  # the request has run, and may have succeeded
             return
+        response = self.parser.response
         if response is None:
             return
+        if not self.parser.has_extra_data and self.socket.has_data():
+            return  # it came with more than its length covers: the next read tells what that is
         self.request = None
+        length_fits = self.parser.length_fits
         pools.idle_limit.record_use(self.idle_time, False)
         if self.socket.unsent or not response.keep_alive or self.parser.has_extra_data:
             self.close()
         else:
             self.pool.make_idle(self)
-        request.on_response(response)
+        if length_fits:
+            request.on_response(response)
+        else:
+            self._log_bad_answer("more than its length covers")
+            request.on_wrong_length(response)
+
+    def _log_bad_answer(self, why: str) -> None:
+        self.pool.pools.log_event("bad_answer", address=self.pool.address, why=why[:MAX_LOGGED_REASON])
 
     def on_sent(self) -> None:
         """The kernel has taken the whole request."""
 
     def on_lost(self, why: str) -> None:
         """The connection was closed by the appliance, or broke."""
-        if self.request is not None and not self.parser.in_message:
+        if self.request is not None and not self.parser.in_message and self.parser.response is None:
             self.pool.pools.idle_limit.record_use(self.idle_time, True)
         self._lost(why, ours.UNCONNECTED if self.socket.unsent else ours.RESET)
 
@@ -388,6 +401,10 @@
         """The complete response has arrived."""
         raise NotImplementedError
 
+    def on_wrong_length(self, response: Response) -> None:
+        """More has arrived than the response's length covers: its body may be cut, and it has run."""
+        self.on_lost(ours.RESET)
+
     def on_lost(self, outcome: str) -> None:
         """It ended without a response."""
         raise NotImplementedError
@@ -492,6 +509,10 @@
         """Reports the appliance as healthy if the status is OK."""
         self._report(response.status == protocol.OK_STATUS)
 
+    def on_wrong_length(self, response: Response) -> None:
+        """Goes by the status: nothing of the body is used."""
+        self.on_response(response)
+
     def on_lost(self, outcome: str) -> None:
         """Reports the appliance as not healthy."""
         self._report(False)
--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -280,27 +280,59 @@
         super().__init__()
         self.response: Response | None = None
         self.has_extra_data = False
+        self._copies = 0  # complete copies of the response behind it
+        self._extra_is_no_copy = False
 
     def feed(self, data: bytes) -> Response | None:
-        """Returns the response once it is complete; what follows it only sets `has_extra_data`.
+        """Returns the response once it is complete; what follows it sets `has_extra_data`.
+
+        The last byte is parsed by itself: a response that is complete before it has something behind it, also
+        where that is a line break, which the underlying parser skips.
 
         Raises:
             HttpError: The input is not acceptable.
         """
-        if self.response is not None:
-            self.has_extra_data = True
-            return None
+        was_complete = self.response is not None
+        for part in (data[:-1], data[-1:]):
+            if part:
+                self.has_extra_data = self.has_extra_data or self.response is not None
+                self._parse_part(part)
+        return None if was_complete else self.response
+
+    def _parse_part(self, part: bytes) -> None:
+        """Parses some input; an error behind the response only shows that no copy of it follows."""
         try:
-            self._parse(data)
+            self._parse(part)
         except HttpError:
             if self.response is None:
                 raise
-            self.has_extra_data = True
-        return self.response
+            self.has_extra_data = self._extra_is_no_copy = True
+
+    @property
+    def length_fits(self) -> bool:
+        """Whether nothing but copies of the response has arrived behind it.
+
+        A copy is recognized once its head is complete. Anything else may be the rest of a body that is longer
+        than the response says.
+        """
+        if not self.has_extra_data:
+            return True
+        if self._extra_is_no_copy:
+            return False
+        if self.in_message:
+            return not self._in_head and self._repeats_response(whole=False)
+        return self._copies > 0
+
+    def _repeats_response(self, whole: bool) -> bool:
+        """Returns whether the message in hand is the response once more, or the beginning of it."""
+        response, body = self.response, self._body
+        same_head = (response.status, response.headers) == (self._parser.get_status_code(), self._headers)
+        return same_head and (response.body == body if whole else response.body.startswith(body))
 
     def next(self) -> None:
         """Prepares for the response to the next request; the previous one has been handled."""
         self.response = None
+        self._copies, self._extra_is_no_copy = 0, False
 
     def on_message_begin(self) -> None:
         """Called by the underlying parser at the first byte of a response."""
@@ -325,7 +357,10 @@
         """Called by the underlying parser at the end of a response."""
         self.in_message = False
         status = self._parser.get_status_code()
-        if self.response is None and status >= FIRST_FINAL_STATUS:
+        if self.response is not None:
+            self._copies += 1
+            self._extra_is_no_copy = self._extra_is_no_copy or not self._repeats_response(whole=True)
+        elif status >= FIRST_FINAL_STATUS:
             self.response = Response(
                 status, self._headers, self._whole_body(), self._parser.should_keep_alive()
             )
