Soak: servers that lose answers also give some a length that does not fit

Change: a server in the mode "losing" tells half of its length with one answer in ten. The oracle compares each 200 answer with the request's id already. The draws of schedules stay as they are.

--- a/cartweir/soak/appliance.py
+++ b/cartweir/soak/appliance.py
@@ -27,14 +27,20 @@
 HANGING = "hanging"  # reads and never answers
 RESETTING = "resetting"  # ends each connection as a request has arrived
 FAILING = "failing"  # answers 500
-LOSING = "losing"  # a part of its answers gets lost
+LOSING = "losing"  # a part of its answers gets lost, another has a length that does not fit
 LOST_SHARE = 0.3
+CUT_SHARE = 0.1  # of the answers that are not lost
 
 NOT_PROCESSED = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 FAILED = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
+def good_answer(body: bytes, length: int) -> bytes:
+    """Returns an answer that tells this length of its body."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (length, body)
+
+
 @dataclass(frozen=True)
 class ApplianceMake:
     """How an appliance serves.
@@ -153,7 +159,8 @@
         if self.mode == FAILING:
             return FAILED
         answer = f"{request_id} {len(body)}".encode()
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(answer), answer)
+        is_cut = self.mode == LOSING and self._random.random() < CUT_SHARE
+        return good_answer(answer, len(answer) // 2 if is_cut else len(answer))
 
     async def run(self) -> None:
         """Listens, tells so, and follows standard input until its end."""
