Node: after SIGHUP the list is relied on for 4 s and the grace, whatever fails

Cause: nothing began to count at SIGHUP. The lease on the list learned of the move only when the call to the new address had failed, and then gave 6 s from its begin; while the first list arrived in pieces it never ended. A silence of the old watch was forgotten with it, a second SIGHUP began anew, and a list in pieces counted as of its last byte.

Change: the node tells the decisions of SIGHUP as it comes, and the lease has a second time, 4 s later, which only a word of the present address lifts. Updates from an address that was replaced are followed and renew nothing. An update in pieces counts as of its first byte.

--- a/cartweir/cores/decider.py
+++ b/cartweir/cores/decider.py
@@ -128,12 +128,18 @@
         self.decider = decider
         super().__init__(decider, settings, seed)
 
-    def apply_list(self, how: str, rows: Iterable[ListEntry] = (), waited: int | None = 0) -> list[Appliance]:
+    def apply_list(
+        self,
+        how: str,
+        rows: Iterable[ListEntry] = (),
+        waited: int | None = 0,
+        superseded: bool = False,
+    ) -> list[Appliance]:
         """Applies the registry's list and sends it to the workers."""
         rows = list(rows)
         for row in rows:
             self.decider.rows[row.id] = row
-        changed = super().apply_list(how, rows, waited)
+        changed = super().apply_list(how, rows, waited, superseded)
         for row in rows:
             self.decider.instances[self.appliance_list.appliances[row.id]] = instance_id(row)
         self.decider.send_list(how, rows, changed)
--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -368,14 +368,20 @@
 
     @answers_broken_invocations
     def apply_list(
-        self, kind: str, entries: Iterable[ListEntry] = (), waited: int | None = 0
+        self,
+        kind: str,
+        entries: Iterable[ListEntry] = (),
+        waited: int | None = 0,
+        superseded: bool = False,
     ) -> list[Appliance]:
         """Applies an update of the list of appliances, or reports that there is none.
 
         Args:
             kind: What became of the list; one of the constants in `interface`.
             entries: The entries of the update.
-            waited: Without an answer, for how many microseconds one was waited for; None if that is unknown.
+            waited: Without an answer, for how many microseconds one was waited for, None if that is unknown;
+                of an update, for how many microseconds it has been arriving.
+            superseded: It comes from an address of discovery that has been replaced.
 
         Returns:
             The appliances that the update concerns.
@@ -383,12 +389,21 @@
         self.catch_up()
         has_entries = kind in (ours.DELTA, ours.SNAPSHOT, ours.CACHED)
         changed = self.appliance_list.apply(kind != ours.DELTA, entries) if has_entries else []
-        self.engine.agent.on_list(kind, changed, waited)
+        self.engine.agent.on_list(kind, changed, waited, superseded)
         self.guard.record_list(changed, self.engine.now)
         self._log_slow_start(changed)
         self.engine.resume_woken()
         return changed
 
+    def list_incomplete(self, since: int) -> None:
+        """Handles that an update of the list is arriving in pieces; nothing was missing up to that time."""
+        self.engine.agent.on_incomplete_list(since)
+
+    def discovery_moved(self) -> None:
+        """Handles that discovery may have another address from now on."""
+        self.catch_up()
+        self.engine.agent.on_discovery_moved()
+
     def _log_slow_start(self, changed: list[Appliance]) -> None:
         """Logs the appliances among these that begin as cold."""
         cold = self.engine.agent.slow_start.appliances
--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -115,16 +115,21 @@
         return binds_key(self, appliance.build)
 
     # ---- the list of appliances ----
-    def on_list(self, status: str, changed: list[Appliance], waited: int | None = 0) -> None:
+    def on_list(
+        self, status: str, changed: list[Appliance], waited: int | None = 0, superseded: bool = False
+    ) -> None:
         """Takes the result of a request for the list of appliances.
 
         Args:
             status: one of the constants in `interface`.
             changed: the appliances that have changed.
-            waited: without an answer, how long one was waited for; None: for an unknown time, not by this
-                agent.
+            waited: without an answer, how long one was waited for, None: for an unknown time, not by this
+                agent; of an update, for how long it has been arriving.
+            superseded: it is about an address of discovery that has been replaced: what the present one has
+                to tell may be missing.
         """
-        self.list_lease.update(status, self.host.now, waited)
+        if not superseded:
+            self.list_lease.update(status, self.host.now, waited)
         if not self.list_subscription.update(status, waited):
             return
         changed_ids = {id(appliance) for appliance in changed}
@@ -136,6 +141,14 @@
         self._regroup()
         self.wake_held()
 
+    def on_incomplete_list(self, since: int) -> None:
+        """Takes note that an update is arriving in pieces; the list is as it was at that time."""
+        self.list_lease.record_incomplete_update(since)
+
+    def on_discovery_moved(self) -> None:
+        """Takes note that discovery may have another address from now on."""
+        self.list_lease.record_move(self.host.now)
+
     def _regroup(self) -> None:
         """Sorts the ready appliances into groups.
 
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -62,7 +62,8 @@
     """One request to discovery and its answer as it arrives.
 
     Attributes:
-        current_at: Up to when no change can have been missed: the start, then each heartbeat and object.
+        current_at: Up to when no change can have been missed: the start, then each heartbeat and the begin of
+            each object.
         watching: A watch has delivered a list; it ends only when discovery does.
     """
 
@@ -72,7 +73,7 @@
         self.values = JsonStream(MAX_LIST_BYTES)
         self.current_at = now()
         self.watching = False
-        self._started_at = self.current_at
+        self._started_at = self._read_at = self._value_began_at = self.current_at
         self._answered = False
 
     def request(self, target: bytes, host: str) -> None:
@@ -89,13 +90,21 @@
         """
         data = await self._read_bytes(HEARTBEAT_TIMEOUT if self.watching else ANSWER_TIMEOUT)
         self._answered = True
+        self._read_at = self.now()
+        if self.values.between_values and self.values.at_line_start:
+            self._value_began_at = self._read_at
         found = self.values.feed(self.parser.take(data))
         if self.parser.status not in (0, protocol.OK_STATUS):
             raise CallFailedError(f"status {self.parser.status}")
         if self.values.between_values and (found or self.watching):
-            self.current_at = self.now()
+            self.current_at = self._value_began_at
         return found
 
+    @property
+    def arriving(self) -> int:
+        """For how many microseconds the value that the last read completed was arriving before that read."""
+        return self._read_at - self._value_began_at
+
     async def _read_bytes(self, timeout: int) -> bytes:
         try:
             async with asyncio.timeout(timeout / 1e6):  # asyncio.wait_for may swallow a cancellation
@@ -142,6 +151,7 @@
         self._start_times = StartTimes()
         self._applied_count = 0  # lists and deltas applied so far
         self._watch: asyncio.Task | None = None
+        self._watch_call: _Call | None = None  # of the watch
         self._lost = False
 
     def start(self, known_list: Mapping[str, Any]) -> None:
@@ -169,9 +179,17 @@
         spawn(self._run_fetch())
 
     def move(self, address: str) -> None:
-        """Uses another address from now on; the old watch ends once the new one has delivered something."""
+        """Uses another address from now on; the old watch ends once the new one has delivered something.
+
+        The decisions count the time until then from here, whether a call fails or not, and from when the old
+        watch fell silent, if it has. The address may also be the one in use.
+        """
+        if self._watch_call is not None and self._watch_call.watching:
+            self.engine_host.list_incomplete(self._watch_call.current_at)
+        self.engine_host.discovery_moved()
         if address != self.address:
             self.address, old = address, self._watch
+            self._watch_call = None
             self._watch = spawn(self._run_watch(old))
 
     # ---- calls ----
@@ -184,17 +202,20 @@
         try:
             since = b"" if self.version is None else b"&from=%d" % self.version
             call = await self._call(WATCH_PATH + since)
+            if self._watch is this_task:
+                self._watch_call = call
             while True:
-                for value in await call.read():
-                    self._apply_answer(value)
+                values = await call.read()
+                for value in values:
+                    self._apply_answer(value, call.arriving, superseded=self._watch is not this_task)
                     call.watching = True
                     if old is not None:
                         old.cancel()
                         old = None
                 if call.parser.response is not None:
                     raise CallFailedError("the watch was ended")
-                if call.watching and call.values.between_values and self._watch is this_task:
-                    self.engine_host.apply_list(ours.UNCHANGED)
+                if call.watching and self._watch is this_task:
+                    self._report_progress(call, bool(values))
         except _CALL_ERRORS as error:
             failure = error
         except Exception as error:  # an internal error: logged, and the watch is reopened
@@ -205,13 +226,18 @@
         if self._watch is this_task:
             await self._watch_ended(failure, began if call is None else call.current_at)
 
+    def _report_progress(self, call: _Call, has_values: bool) -> None:
+        """Tells the decisions that nothing has changed."""
+        if call.values.between_values and not has_values:
+            self.engine_host.apply_list(ours.UNCHANGED, waited=call.arriving)
+
     async def _watch_ended(self, failure: Exception | None, current_at: int) -> None:
         if not self._lost:
             self._lost = True
             why = str(failure) or type(failure).__name__
             is_down = isinstance(failure, DiscoveryDownError)
             self.log_event("discovery_lost", level="warning", why=why[:MAX_LOGGED_REASON], down=is_down)
-        self._watch = None
+        self._watch = self._watch_call = None
         self._report_failure(failure, current_at)
         if self.backoff is not None:
             await asyncio.sleep(self.backoff.next_delay())
@@ -219,7 +245,7 @@
 
     async def _run_fetch(self) -> None:
         call: _Call | None = None
-        applied_before, began = self._applied_count, self.now()
+        applied_before, began, address = self._applied_count, self.now(), self.address
         try:
             call = await self._call(LIST_PATH)
             found: list[Any] = []
@@ -227,13 +253,19 @@
                 found += await call.read()
             if len(found) != 1:
                 raise CallFailedError(f"{len(found)} lists in a response; expected one")
-            self._apply_answer(found[0], overtaken=applied_before != self._applied_count)
-        except _CALL_ERRORS as error:
-            self.log_event("fetch_failed", level="warning", why=str(error)[:MAX_LOGGED_REASON])
-            self._report_failure(error, began)
+            self._apply_answer(
+                found[0],
+                call.arriving,
+                overtaken=applied_before != self._applied_count,
+                superseded=address != self.address,
+            )
         except Exception as error:
-            internal_errors.log_internal_error(self.log_event, "in a list", error)
-            self._report_failure(error, began)
+            if isinstance(error, _CALL_ERRORS):
+                self.log_event("fetch_failed", level="warning", why=str(error)[:MAX_LOGGED_REASON])
+            else:
+                internal_errors.log_internal_error(self.log_event, "in a list", error)
+            if address == self.address:
+                self._report_failure(error, began)
         finally:
             if call is not None:
                 call.close()
@@ -260,12 +292,16 @@
         self.engine_host.apply_list(kind, waited=self.now() - current_at)
 
     # ---- lists ----
-    def _apply_answer(self, members: Any, overtaken: bool = False) -> None:
+    def _apply_answer(
+        self, members: Any, arriving: int = 0, overtaken: bool = False, superseded: bool = False
+    ) -> None:
         """Applies a list or delta.
 
         Args:
             members: The JSON value.
+            arriving: For how many microseconds it has been arriving.
             overtaken: Whether another one was applied since this one was requested.
+            superseded: Whether it comes from an address that has been replaced.
 
         Raises:
             ValueError: The value is no list, or a delta of another incarnation of discovery.
@@ -285,7 +321,7 @@
                 return  # the call began before the list that is held now arrived
             self.version = None  # a delta of another incarnation: the next watch asks for the whole list
             raise ValueError(f"changes up to {version}, which is below the version held")
-        self._apply(ours.SNAPSHOT if is_snapshot else ours.DELTA, members["endpoints"])
+        self._apply(ours.SNAPSHOT if is_snapshot else ours.DELTA, members["endpoints"], arriving, superseded)
         self.version, self._applied_count = version, self._applied_count + 1
         self.synchronized = True
         if self.backoff is not None:
@@ -295,7 +331,7 @@
             self.log_event("discovery_back", version=self.version)
         self.log_event("list", level="debug", version=self.version, named=len(members["endpoints"]))
 
-    def _apply(self, kind: str, entries: Any) -> None:
+    def _apply(self, kind: str, entries: Any, arriving: int = 0, superseded: bool = False) -> None:
         parsed, unreadable = protocol.parse_entries(entries)
         if unreadable:
             self.log_event(
@@ -307,7 +343,7 @@
             entry.started = started
             if address:
                 self.appliance_pools.addresses[entry.id] = address
-        changed = self.engine_host.apply_list(kind, [entry for entry, _ in parsed])
+        changed = self.engine_host.apply_list(kind, [entry for entry, _ in parsed], arriving, superseded)
         self.appliance_pools.retire_gone(changed)
         self._forget_starts(changed)
 
--- a/cartweir/node/jsonstream.py
+++ b/cartweir/node/jsonstream.py
@@ -30,10 +30,12 @@
 
     Attributes:
         max_value_bytes: Bytes that an incomplete value may have.
+        at_line_start: The last line has ended. A value may be complete before its line is.
     """
 
     def __init__(self, max_value_bytes: int) -> None:
         self.max_value_bytes = max_value_bytes
+        self.at_line_start = True
         self._lines: list[bytes] = []  # complete lines of an incomplete value
         self._lines_size = 0  # bytes of these
         self._tried_size = 0  # bytes of these at the last failed decode
@@ -49,6 +51,8 @@
             ValueError: The input cannot be decoded; nothing after it can be trusted.
         """
         found: list[Any] = []
+        if data:
+            self.at_line_start = data.endswith(b"\n")
         first, *others = data.split(b"\n")
         self._line_pieces.append(first)
         self._line_size += len(first)
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -19,6 +19,7 @@
     Down,
     Episode,
     Hangup,
+    InPieces,
     Restart,
     Result,
     Scenario,
@@ -69,6 +70,13 @@
     max_size=4,
 ).map(tuple)
 CALM, SILENT, HANGUP = st.just(Calm()), st.just(Silent()), st.just(Hangup())
+HANGUPS = built(
+    Hangup,
+    st.just(0.0) | tenths_between(0, 9),
+    st.just(0.0) | tenths_between(0.1, 3),
+    st.just(0.0) | tenths_between(1, 12),
+)
+IN_PIECES = built(InPieces, tenths_between(1, 15))
 TAMPERED = built(Tampered, tenths_between(0, 1), st.sampled_from((RESET, GO_ON, STALL, CORRUPT)))
 CUT = built(Cut, tenths_between(0.1, 13), st.integers(0, 3))
 DOWN = built(Down, tenths_between(0.1, 9), st.booleans(), tenths_between(0, MAX_CROWD_WORK))
@@ -127,6 +135,12 @@
     check_all(asked, st.one_of(CUT, CUT, DOWN, SILENT), Phase.generate, Phase.shrink)
 
 
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+def test_the_time_to_follow_a_new_address_began_only_with_a_failed_call(asked):
+    """Guards against sending to a draining server later than 4 s and the grace after SIGHUP."""
+    check_all(asked, st.one_of(HANGUPS, HANGUPS, SILENT, CUT, DOWN, CALM), Phase.generate, Phase.shrink)
+
+
 # ---- the check detects faults ----
 def ignores_deltas(patch: pytest.MonkeyPatch) -> None:
     listed = EngineHost.apply_list
--- a/tests/virtual_discovery.py
+++ b/tests/virtual_discovery.py
@@ -25,6 +25,7 @@
 OLD_ADDRESS_STAYS = 1.5  # after SIGHUP
 CROWD_SPREAD = 2.0  # seconds over which the crowd's first calls are spread
 CROWD_RETRY = 0.5, 2.0  # seconds after which a refused caller of the crowd retries
+PIECE_INTERVAL = 0.7  # seconds between two pieces of an object that is written slowly
 RESET, GO_ON, STALL, CORRUPT = "reset", "go on", "stall", "spoil"
 
 
@@ -101,6 +102,7 @@
     silent: bool = False
     corrupted: bool = False  # unreadable bytes were sent: nothing after them counts as delivered
     open: bool = True
+    busy_until: float = 0.0  # an object is being written in pieces
     heartbeat_timer: asyncio.TimerHandle | None = None
     pending: deque[tuple[bytes, int, int]] = field(
         default_factory=deque
@@ -131,6 +133,7 @@
     cut_off: bool = False  # it runs, and nothing gets through between it and the agent
     resets_left: int = 0  # connections that are reset at once after a cut
     tampers: list[Tamper] = field(default_factory=list)
+    writing_time: float = 0.0  # of the next object, which is written in pieces; 0: it is written at once
     history: list[tuple[int, str]] = field(default_factory=list)
     connections: list[Connection] = field(default_factory=list)
     log: list[str] = field(default_factory=list)
@@ -342,11 +345,37 @@
 
     def _write_next(self, connection: Connection) -> None:
         """Writes the oldest pending data: timers of the same time fire in any order."""
-        self._write_news(connection, *connection.pending.popleft())
+        if connection.busy_until > self.loop.time():
+            self.loop.call_at(connection.busy_until, self._write_next, connection)
+        else:
+            self._write_news(connection, *connection.pending.popleft())
+
+    def _write_in_pieces(self, connection: Connection, data: bytes, after: int, index: int) -> None:
+        count = int(self.writing_time / PIECE_INTERVAL) + 2
+        interval, self.writing_time = self.writing_time / (count - 1), 0.0
+        size = -(-len(data) // count)
+        for number in range(count):
+            piece = data[number * size : (number + 1) * size]
+            self.loop.call_later(number * interval, self._write_piece, connection, piece)
+        connection.busy_until = self.loop.time() + count * interval
+        self.log_line(f"connection {connection.number}: an object in {count} pieces")
+        self.loop.call_later((count - 1) * interval, self._pieces_written, connection, after, index)
+
+    def _write_piece(self, connection: Connection, piece: bytes) -> None:
+        if connection.open and not connection.silent and piece:
+            connection.stream.deliver(b"%x\r\n%b\r\n" % (len(piece), piece))
+
+    def _pieces_written(self, connection: Connection, after: int, index: int) -> None:
+        if connection.open and not connection.silent and not connection.corrupted:
+            self._note_delivery(connection, after, index)
+            self._schedule_heartbeat(connection)
 
     def _write_news(self, connection: Connection, data: bytes, after: int, index: int) -> None:
         if not connection.open or connection.silent:
             return
+        if self.writing_time:
+            self._write_in_pieces(connection, data, after, index)
+            return
         tamper, sent = self._tampered(data)
         connection.stream.deliver(b"%x\r\n%b\r\n" % (len(sent), sent))
         connection.corrupted = connection.corrupted or tamper is not None
@@ -381,7 +410,8 @@
 
     def _send_heartbeat(self, connection: Connection) -> None:
         if connection.open and not connection.silent:
-            connection.stream.deliver(b"1\r\n\n\r\n")
+            if connection.busy_until <= self.loop.time():
+                connection.stream.deliver(b"1\r\n\n\r\n")
             self._schedule_heartbeat(connection)
 
     def _fall_silent(self, connection: Connection) -> None:
--- a/tests/virtual_scenario.py
+++ b/tests/virtual_scenario.py
@@ -12,7 +12,7 @@
 from announcement_clock import Trace, Violation
 from node_harness import SETTINGS
 from virtual_agent import VirtualAgent
-from virtual_discovery import Pace, Tamper, VirtualDiscovery
+from virtual_discovery import CROWD_SPREAD, Pace, Tamper, VirtualDiscovery
 from virtual_time import VirtualLoop
 
 from cartweir.hosting.platform_settings import parse_settings
@@ -21,7 +21,7 @@
 SERVERS = 6
 WARM_UP = 3.0
 EPISODE = 16.0  # seconds in which a disturbance ends and the client recovers
-ADDRESSES = "discovery:1", "discovery:2"
+ADDRESSES = "discovery:1", "discovery:2", "discovery:3"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,16 +81,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Hangup:
-    """SIGHUP with another address of discovery."""
+    """SIGHUP with another address of discovery, once more `again` seconds later (0: only once).
 
+    Handling a crowd of other callers takes discovery `crowd` seconds, which have begun when SIGHUP comes, and
+    the first object of the new watch arrives in pieces over `pieces` seconds.
+    """
 
-Disturbance = Calm | Down | Silent | Cut | Tampered | Restart | Hangup
+    crowd: float = 0.0
+    again: float = 0.0
+    pieces: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class InPieces:
+    """The next object arrives in pieces over so many seconds."""
+
+    seconds: float
+
+
+Disturbance = Calm | Down | Silent | Cut | Tampered | Restart | Hangup | InPieces
 
 
 @dataclass(frozen=True, slots=True)
 class Episode:
     disturbance: Disturbance
     changes: tuple[Change, ...]
+    seconds: float = EPISODE
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,7 +182,7 @@
         await asyncio.sleep(WARM_UP)
         for episode in self.scenario.episodes:
             self._plan(episode)
-            await asyncio.sleep(EPISODE)
+            await asyncio.sleep(episode.seconds)
         self.agent.kill()
         await asyncio.sleep(0)
         trace = self.discovery.trace
@@ -194,18 +210,34 @@
                 self.loop.call_later(seconds, self.discovery.heal, resets)
             case Tampered(part, then):
                 self.discovery.tampers.append(Tamper(part, then, self.loop.time() + EPISODE / 2))
-            case Restart(gap, list_age, crowd, away):
-                listed = [listed for at, listed in self.snapshots if at <= self.loop.time() - list_age]
-                self.agent.kill()
-                if away:
-                    self.discovery.go_down(False)
-                    self.loop.call_later(away, self._come_up, crowd)
-                else:
-                    self.discovery.crowd(crowd)
-                self.loop.call_later(gap, self.start_agent, listed[-1] if listed else self.snapshots[0][1])
-            case Hangup():
-                now = ADDRESSES.index(self.discovery.address)
-                self.agent.sighup(ADDRESSES[1 - now])
+            case Restart():
+                self._restart(episode.disturbance)
+            case Hangup(crowd, again, pieces):
+                self.discovery.crowd(crowd)
+                begin = CROWD_SPREAD if crowd else 0.0
+                self.loop.call_later(begin, self._hang_up, pieces)
+                if again:
+                    self.loop.call_later(begin + again, self._hang_up, pieces)
+            case InPieces(seconds):
+                self.discovery.writing_time = seconds
+
+    def _restart(self, restart: Restart) -> None:
+        at_most = self.loop.time() - restart.list_age
+        listed = [listed for at, listed in self.snapshots if at <= at_most]
+        self.agent.kill()
+        if restart.away:
+            self.discovery.go_down(False)
+            self.loop.call_later(restart.away, self._come_up, restart.crowd)
+        else:
+            self.discovery.crowd(restart.crowd)
+        known = listed[-1] if listed else self.snapshots[0][1]
+        self.loop.call_later(restart.gap, self.start_agent, known)
+
+    def _hang_up(self, pieces: float) -> None:
+        if self.agent.alive:
+            self.discovery.writing_time = pieces
+            now = ADDRESSES.index(self.discovery.address)
+            self.agent.sighup(ADDRESSES[(now + 1) % len(ADDRESSES)])
 
     def _come_up(self, crowd: float) -> None:
         self.discovery.come_up()
