Node: of several updates in one read only the last renews the lease on the list

What callers saw: nothing yet; on virtual time a server got a request 0.55 s after its departure counted as announced, where the grace is 0.5 s.

Cause: each update renewed the lease as it was applied, and woke what was held. Behind a slow list after SIGHUP several updates come in one read; the first had requests sent to servers whose departure the next one told.

Change: an update with more behind it, complete or not, is applied and renews nothing, like one of an address that was replaced.

Result: the test passes, and so do test_discovery_clock.py, test_discovery_moved.py and test_list_trust.py.

--- a/cartweir/cores/decider.py
+++ b/cartweir/cores/decider.py
@@ -133,13 +133,13 @@
         how: str,
         rows: Iterable[ListEntry] = (),
         waited: int | None = 0,
-        superseded: bool = False,
+        confirms: bool = True,
     ) -> list[Appliance]:
         """Applies the registry's list and sends it to the workers."""
         rows = list(rows)
         for row in rows:
             self.decider.rows[row.id] = row
-        changed = super().apply_list(how, rows, waited, superseded)
+        changed = super().apply_list(how, rows, waited, confirms)
         for row in rows:
             self.decider.instances[self.appliance_list.appliances[row.id]] = instance_id(row)
         self.decider.send_list(how, rows, changed)
--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -372,7 +372,7 @@
         kind: str,
         entries: Iterable[ListEntry] = (),
         waited: int | None = 0,
-        superseded: bool = False,
+        confirms: bool = True,
     ) -> list[Appliance]:
         """Applies an update of the list of appliances, or reports that there is none.
 
@@ -381,7 +381,7 @@
             entries: The entries of the update.
             waited: Without an answer, for how many microseconds one was waited for, None if that is unknown;
                 of an update, for how many microseconds it has been arriving.
-            superseded: It comes from an address of discovery that has been replaced.
+            confirms: It is the last that has arrived, and comes from the address of discovery in use.
 
         Returns:
             The appliances that the update concerns.
@@ -389,7 +389,7 @@
         self.catch_up()
         has_entries = kind in (ours.DELTA, ours.SNAPSHOT, ours.CACHED)
         changed = self.appliance_list.apply(kind != ours.DELTA, entries) if has_entries else []
-        self.engine.agent.on_list(kind, changed, waited, superseded)
+        self.engine.agent.on_list(kind, changed, waited, confirms)
         self.guard.record_list(changed, self.engine.now)
         self._log_slow_start(changed)
         self.engine.resume_woken()
--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -116,7 +116,7 @@
 
     # ---- the list of appliances ----
     def on_list(
-        self, status: str, changed: list[Appliance], waited: int | None = 0, superseded: bool = False
+        self, status: str, changed: list[Appliance], waited: int | None = 0, confirms: bool = True
     ) -> None:
         """Takes the result of a request for the list of appliances.
 
@@ -125,10 +125,10 @@
             changed: the appliances that have changed.
             waited: without an answer, how long one was waited for, None: for an unknown time, not by this
                 agent; of an update, for how long it has been arriving.
-            superseded: it is about an address of discovery that has been replaced: what the present one has
-                to tell may be missing.
+            confirms: nothing more of discovery's is known to be under way. An update that has more behind
+                it, or comes from an address that has been replaced, renews nothing.
         """
-        if not superseded:
+        if confirms:
             self.list_lease.update(status, self.host.now, waited)
         if not self.list_subscription.update(status, waited):
             return
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -206,8 +206,9 @@
                 self._watch_call = call
             while True:
                 values = await call.read()
-                for value in values:
-                    self._apply_answer(value, call.arriving, superseded=self._watch is not this_task)
+                for number, value in enumerate(values, 1):
+                    is_last = number == len(values) and call.values.between_values
+                    self._apply_answer(value, call.arriving, confirms=is_last and self._watch is this_task)
                     call.watching = True
                     if old is not None:
                         old.cancel()
@@ -257,7 +258,7 @@
                 found[0],
                 call.arriving,
                 overtaken=applied_before != self._applied_count,
-                superseded=address != self.address,
+                confirms=address == self.address,
             )
         except Exception as error:
             if isinstance(error, _CALL_ERRORS):
@@ -293,7 +294,7 @@
 
     # ---- lists ----
     def _apply_answer(
-        self, members: Any, arriving: int = 0, overtaken: bool = False, superseded: bool = False
+        self, members: Any, arriving: int = 0, overtaken: bool = False, confirms: bool = True
     ) -> None:
         """Applies a list or delta.
 
@@ -301,7 +302,7 @@
             members: The JSON value.
             arriving: For how many microseconds it has been arriving.
             overtaken: Whether another one was applied since this one was requested.
-            superseded: Whether it comes from an address that has been replaced.
+            confirms: Whether it is the last that has arrived, and comes from the address in use.
 
         Raises:
             ValueError: The value is no list, or a delta of another incarnation of discovery.
@@ -321,7 +322,7 @@
                 return  # the call began before the list that is held now arrived
             self.version = None  # a delta of another incarnation: the next watch asks for the whole list
             raise ValueError(f"changes up to {version}, which is below the version held")
-        self._apply(ours.SNAPSHOT if is_snapshot else ours.DELTA, members["endpoints"], arriving, superseded)
+        self._apply(ours.SNAPSHOT if is_snapshot else ours.DELTA, members["endpoints"], arriving, confirms)
         self.version, self._applied_count = version, self._applied_count + 1
         self.synchronized = True
         if self.backoff is not None:
@@ -331,7 +332,7 @@
             self.log_event("discovery_back", version=self.version)
         self.log_event("list", level="debug", version=self.version, named=len(members["endpoints"]))
 
-    def _apply(self, kind: str, entries: Any, arriving: int = 0, superseded: bool = False) -> None:
+    def _apply(self, kind: str, entries: Any, arriving: int = 0, confirms: bool = True) -> None:
         parsed, unreadable = protocol.parse_entries(entries)
         if unreadable:
             self.log_event(
@@ -343,7 +344,7 @@
             entry.started = started
             if address:
                 self.appliance_pools.addresses[entry.id] = address
-        changed = self.engine_host.apply_list(kind, [entry for entry, _ in parsed], arriving, superseded)
+        changed = self.engine_host.apply_list(kind, [entry for entry, _ in parsed], arriving, confirms)
         self.appliance_pools.retire_gone(changed)
         self._forget_starts(changed)
 
--- a/tests/test_discovery_moved.py
+++ b/tests/test_discovery_moved.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from helpers import MS, S, Scene
@@ -12,13 +13,14 @@
 from test_calls import sockets
 from test_discovery_clock import DRAIN_FOUR, SEEDS, SLOW, check
 from test_list_trust import GRACE, dispatched, recorded_reports, scene_with_list
-from virtual_scenario import Episode, Hangup, Scenario
+from virtual_scenario import Change, Episode, Hangup, Scenario
 
 from cartweir import interface as ours
 from cartweir.logic import list_lease
 from cartweir.logic.list_lease import ANNOUNCED_AFTER_MOVE, ANNOUNCED_WITHIN, LEASE_MARGIN
 
 MOVED_AT = 10 * S
+KEEPS_NO_CHANGES = replace(SLOW, changes_kept=0)
 LEASE = ANNOUNCED_AFTER_MOVE + GRACE - LEASE_MARGIN
 
 
@@ -55,6 +57,18 @@
             check(Scenario(asked, 0.5, SLOW, seed, (Episode(hangup, changes),)))
 
 
+def test_the_first_of_two_updates_in_one_read_renewed_the_lease():
+    """Guards against a dispatch to a server whose departure has been read, and is not applied yet."""
+    changes = Change(1.5, 0, "draining"), Change(1.6, 1, "draining")
+    for pieces in (3.6, 3.7, 3.8, 3.9):
+        for seed in SEEDS:
+            episodes = (
+                Episode(Hangup(), (Change(0.0, 0, "removed"),)),
+                Episode(Hangup(pieces=pieces), changes),
+            )
+            check(Scenario(False, 0.5, KEEPS_NO_CHANGES, seed, episodes))
+
+
 def test_the_lease_ends_4_s_and_the_grace_after_discovery_has_moved():
     expect_end_of_lease(scene_with_moved_discovery(), MOVED_AT + LEASE)
 
@@ -81,7 +95,7 @@
             case "incomplete":
                 scene.agent.on_incomplete_list(scene.engine.now)
             case "old":
-                scene.agent.on_list(ours.DELTA, [], superseded=True)
+                scene.agent.on_list(ours.DELTA, [], confirms=False)
             case "partial":  # it began before the move
                 scene.agent.on_list(ours.DELTA, [], waited=scene.engine.now - MOVED_AT + S)
     scene.pass_to(max(scene.engine.now, MOVED_AT + LEASE))
