Node: an update of the list that arrives in pieces no longer stops the lease

Cause: the lease on the list runs once a watch has failed. Each piece of an update ended the wait for the next, so that a watch never failed whose pieces kept coming.

Evidence: two tests that draw updates in pieces among other disturbances and one on sockets failed before.

Change: while a part of an update is held, the node tells the decisions up to when nothing can have been missed, and the lease runs from there. The watch is kept.

Result: the three pass.

--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -228,8 +228,10 @@
             await self._watch_ended(failure, began if call is None else call.current_at)
 
     def _report_progress(self, call: _Call, has_values: bool) -> None:
-        """Tells the decisions that nothing has changed."""
-        if call.values.between_values and not has_values:
+        """Tells the decisions that nothing has changed, or that an update is arriving in pieces."""
+        if not call.values.between_values:
+            self.engine_host.list_incomplete(call.current_at)
+        elif not has_values:
             self.engine_host.apply_list(ours.UNCHANGED, waited=call.arriving)
 
     async def _watch_ended(self, failure: Exception | None, current_at: int) -> None:
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -141,6 +141,12 @@
     check_all(asked, st.one_of(HANGUPS, HANGUPS, SILENT, CUT, DOWN, CALM), Phase.generate, Phase.shrink)
 
 
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+def test_an_update_in_pieces_kept_the_lease_of_an_open_watch_from_running(asked):
+    """Guards against sending to a draining server for as long as an update takes to arrive."""
+    check_all(asked, st.one_of(IN_PIECES, IN_PIECES, SILENT, TAMPERED, HANGUPS), Phase.generate, Phase.shrink)
+
+
 # ---- the check detects faults ----
 def ignores_deltas(patch: pytest.MonkeyPatch) -> None:
     listed = EngineHost.apply_list
--- a/tests/test_list_trust.py
+++ b/tests/test_list_trust.py
@@ -415,6 +415,28 @@
     assert reports[0] == ours.UNCHANGED
 
 
+@sockets
+async def test_an_update_whose_end_never_came_left_the_list_in_use(monkeypatch):
+    """Its pieces keep coming, so that no wait for the next one ends, and the lease has to."""
+    monkeypatch.setattr(list_lease, "ANNOUNCED_WITHIN", 200 * MS)
+    async with running_node(Appliance(), drain_grace=200.0) as node:
+        await node.wait_for_event("list")
+        client, number = await node.client(), 0
+        watch = node.discovery.watches[0]
+        watch.write(b'9\r\n{"index":\r\n')
+        while (await client.exchange(request_bytes(f"r{number}")))[0] == 200:
+            watch.write(b"1\r\n \r\n")
+            number += 1
+        assert not any(event == "discovery_lost" for event, _ in node.events)
+        watch.write(b'1d\r\n2,"snapshot":false,"endpoints\r\n6\r\n":[]}\n\r\n')
+        while ("list", {"version": 2, "named": 0}) not in node.events:
+            await asyncio.sleep(0.005)
+        watch.write(b"1\r\n\n\r\n")  # the list was as old as the first byte of the update
+        while (await client.exchange(request_bytes(f"r{number}")))[0] == 429:
+            number += 1
+        assert not any(event == "discovery_lost" for event, _ in node.events)
+
+
 @sockets
 async def test_neither_a_response_head_nor_a_partial_delta_renews_the_lease(monkeypatch):
     async with running_node(Appliance()) as node:
--- a/tests/virtual_scenario.py
+++ b/tests/virtual_scenario.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import pytest
@@ -94,7 +94,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InPieces:
-    """The next object arrives in pieces over so many seconds."""
+    """The next object arrives in pieces over so many seconds.
+
+    From then on discovery holds no change back: an agent takes a heartbeat for a word that nothing changed.
+    """
 
     seconds: float
 
@@ -220,6 +223,7 @@
                     self.loop.call_later(begin + again, self._hang_up, pieces)
             case InPieces(seconds):
                 self.discovery.writing_time = seconds
+                self.discovery.pace = replace(self.discovery.pace, lateness=0.0)
 
     def _restart(self, restart: Restart) -> None:
         at_most = self.loop.time() - restart.list_age
