Lease: only 40 s of refusals make an old list good again, not a crowd that lasts

Cause: after a silence of 40 s the lease held again, whatever the silence was made of.

Change: the list is gone by again only once discovery's host has refused all calls for 40 s. test_discovery_silent_for_longer_than_any_queue_is_presumed_down asked for the fault (40 s of calls without an answer). It is replaced by one that asks the opposite of such calls, at any time, and one that asks the same of refusals, with the same bounds on both sides.

--- a/cartweir/logic/list_lease.py
+++ b/cartweir/logic/list_lease.py
@@ -9,7 +9,7 @@
 ANNOUNCED_AFTER_MOVE = 4 * SECOND  # the same after discovery has got another address
 LEASE_MARGIN = 100 * MILLISECOND  # a request may still be under way when the lease ends
 RESTART_TIME = 2 * SECOND  # discovery takes at least this long to be back once it has gone
-PRESUMED_DOWN_AFTER = 40 * SECOND  # a longer silence is not caused by a queue at discovery
+PRESUMED_DOWN_AFTER = 40 * SECOND  # of refusals alone
 
 
 class ListLease:
@@ -38,6 +38,7 @@
         self.complete = True
         # of the time for announcing, when discovery was first seen to be down; None: it was not
         self._time_left: int | None = None
+        self._refused_since: int | None = None  # all calls since then were refused; None: the last was not
 
     def update(self, status: str, now: int, waited: int | None) -> None:
         """Takes note of the result of a request for the list.
@@ -60,15 +61,18 @@
         if not arriving:
             self.move_announced_at = None
         self.complete = True
-        self._time_left = None
+        self._time_left = self._refused_since = None
 
     def _record_silence(self, announced_at: int) -> None:
         if self.announced_at is None:
             self.announced_at = announced_at
         self.complete = False
+        self._refused_since = None
 
     def _record_refusal(self, now: int) -> None:
         """Keeps what had passed of the time for announcing when discovery was first seen to be down."""
+        if self._refused_since is None:
+            self._refused_since = now
         if self.announced_at is None:
             # it announces nothing while it is gone, and is not back at once
             self.announced_at = now + RESTART_TIME + ANNOUNCED_WITHIN
@@ -89,18 +93,18 @@
     def record_move(self, now: int) -> None:
         """Takes note that discovery may have another address from now on."""
         self.move_announced_at = _earlier(self.move_announced_at, now + ANNOUNCED_AFTER_MOVE)
-        self._time_left = None
+        self._time_left = self._refused_since = None
 
     def holds(self, now: int) -> bool:
         """Returns whether the list may be relied on.
 
-        It may also after `PRESUMED_DOWN_AFTER`: no queue at discovery lasts that long, so that discovery is
-        down and the list is better than none.
+        It may also once all calls have been refused for `PRESUMED_DOWN_AFTER`: discovery is down, and the
+        list is better than none. Calls that get no answer, however long, show no such thing.
         """
         announced_at = _earlier(self.announced_at, self.move_announced_at)
         if announced_at is None or now < announced_at + self.grace:
             return True
-        return now >= announced_at - ANNOUNCED_WITHIN + PRESUMED_DOWN_AFTER
+        return self._refused_since is not None and now - self._refused_since >= PRESUMED_DOWN_AFTER
 
 
 def _earlier(one: int | None, other: int | None) -> int | None:
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -241,6 +241,18 @@
             check(Scenario(asked, 0.5, SLOW, seed, plan(seed, seconds)))
 
 
+LONG_CROWD = 44.0  # seconds
+
+
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+def test_a_crowd_of_over_40_s_made_the_list_of_a_new_process_good_again(asked):
+    """Guards against sending by the list of before once no queue should last that long."""
+    changes = tuple(Change(4.0, server, "draining") for server in range(4))
+    for seed in SEEDS:
+        episode = Episode(Restart(1.0, 0.0, 0.0, calls_wait=LONG_CROWD), changes, LONG_CROWD + 8.0)
+        check(Scenario(asked, 0.5, SLOW, seed, (episode,)))
+
+
 def first_delivery(result: Result, since: float) -> float:
     """Returns the seconds from `since` to the first delivery to the agent."""
     return (
--- a/tests/test_list_trust.py
+++ b/tests/test_list_trust.py
@@ -182,13 +182,33 @@
     assert dispatched(scene)
 
 
-def test_discovery_silent_for_longer_than_any_queue_is_presumed_down():
+@pytest.mark.parametrize("waited", [None, 0, 2 * S])
+def test_calls_without_an_answer_for_40_s_made_an_old_list_good_again(waited):
+    """Guards against taking a long crowd at discovery, which runs and has changes, for an outage."""
+    scene = scene_with_list()
+    scene.agent.on_list(ours.UNANSWERED, [], waited=waited)
+    while scene.engine.now < 10 * S + 3 * list_lease.PRESUMED_DOWN_AFTER:
+        scene.pass_to(scene.engine.now + 2 * S)
+        scene.agent.on_list(ours.UNANSWERED, [], waited=2 * S)
+        assert scene.engine.now < 10 * S + TRUSTED or not dispatched(scene)
+    scene.agent.on_list(ours.UNREACHABLE, [])
+    scene.pass_to(scene.engine.now + list_lease.PRESUMED_DOWN_AFTER - MS)
+    scene.agent.on_list(ours.UNANSWERED, [], waited=0)
+    scene.pass_to(scene.engine.now + list_lease.PRESUMED_DOWN_AFTER)
+    assert not dispatched(scene)
+
+
+def test_discovery_that_has_refused_all_calls_for_long_is_presumed_down():
     scene = scene_with_list()
     scene.agent.on_list(ours.UNANSWERED, [], waited=0)
+    scene.agent.on_list(ours.UNREACHABLE, [])
     scene.pass_to(10 * S + list_lease.PRESUMED_DOWN_AFTER - MS)
+    scene.agent.on_list(ours.UNREACHABLE, [])
     assert not dispatched(scene)
     scene.pass_to(10 * S + list_lease.PRESUMED_DOWN_AFTER)
     assert dispatched(scene)
+    scene.agent.on_list(ours.UNANSWERED, [], waited=0)
+    assert not dispatched(scene)
 
 
 def test_unanswered_calls_are_repeated_with_a_growing_delay():
--- a/tests/virtual_scenario.py
+++ b/tests/virtual_scenario.py
@@ -70,13 +70,15 @@
 class Restart:
     """The agent is killed and starts again with an older list.
 
-    Discovery is down for `away` seconds from the kill; then a crowd calls, as in Down.
+    Discovery is down for `away` seconds from the kill; then a crowd calls, as in Down. No call of the agent
+    gets its turn for `calls_wait` seconds from the kill.
     """
 
     gap: float
     list_age: float
     crowd: float
     away: float = 0.0
+    calls_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,6 +236,7 @@
             self.loop.call_later(restart.away, self._come_up, restart.crowd)
         else:
             self.discovery.crowd(restart.crowd)
+        self.discovery.keep_calls_waiting(restart.calls_wait)
         known = listed[-1] if listed else self.snapshots[0][1]
         self.loop.call_later(restart.gap, self.start_agent, known)
 
