Lease: it begins when discovery goes down, not 2 s later

Cause: at the first sign that discovery is down the lease on the list began 2 s later, as if discovery took that long to be back.

Change: the lease begins at the sign, and each further refusal renews it as before. Three tests had the 2 s in their bounds; they ask the same with bounds that are 2 s tighter, one with both sides. In the virtual discovery, no time without turns is added where none was asked for.

--- a/cartweir/logic/list_lease.py
+++ b/cartweir/logic/list_lease.py
@@ -8,7 +8,6 @@
 ANNOUNCED_WITHIN = 6 * SECOND  # the platform announces a change within this time
 ANNOUNCED_AFTER_MOVE = 4 * SECOND  # the same after discovery has got another address
 LEASE_MARGIN = 100 * MILLISECOND  # a request may still be under way when the lease ends
-RESTART_TIME = 2 * SECOND  # discovery takes at least this long to be back once it has gone
 PRESUMED_DOWN_AFTER = 40 * SECOND  # of refusals alone
 
 
@@ -74,13 +73,11 @@
         if self._refused_since is None:
             self._refused_since = now
         if self.announced_at is None:
-            # it announces nothing while it is gone, and is not back at once
-            self.announced_at = now + RESTART_TIME + ANNOUNCED_WITHIN
+            self.announced_at = now + ANNOUNCED_WITHIN
         if not self.complete:
             return
         if self._time_left is None:
-            left = _earlier(self.announced_at, self.move_announced_at) - now
-            self._time_left = min(left, ANNOUNCED_WITHIN)
+            self._time_left = _earlier(self.announced_at, self.move_announced_at) - now
         renewed = now + self._time_left
         self.announced_at = max(self.announced_at, renewed)
         if self.move_announced_at is not None:
--- a/tests/test_discovery_clock.py
+++ b/tests/test_discovery_clock.py
@@ -253,6 +253,15 @@
         check(Scenario(asked, 0.5, SLOW, seed, (episode,)))
 
 
+@pytest.mark.parametrize("asked", [True, False], ids=["asked", "pushed"])
+@pytest.mark.parametrize("away", [0.1, 0.5, 1.9])
+def test_the_lease_began_2_s_after_discovery_had_gone_down(away, asked):
+    """Guards against a discovery that is back sooner, and then has too many callers."""
+    changes = tuple(Change(away, server, "draining") for server in range(4))
+    for seed in SEEDS:
+        check(Scenario(asked, 0.5, SLOW, seed, (Episode(Down(away, False, 0.0, calls_wait=11.0), changes),)))
+
+
 def first_delivery(result: Result, since: float) -> float:
     """Returns the seconds from `since` to the first delivery to the agent."""
     return (
--- a/tests/test_list_trust.py
+++ b/tests/test_list_trust.py
@@ -178,8 +178,10 @@
     assert not dispatched(scene)
     scene.agent.on_list(ours.UNCHANGED, [])
     scene.agent.on_list(ours.UNREACHABLE, [])
-    scene.pass_to(scene.engine.now + TRUSTED)
+    scene.pass_to(scene.engine.now + TRUSTED - list_lease.LEASE_MARGIN - MS)
     assert dispatched(scene)
+    scene.pass_to(scene.engine.now + MS)
+    assert not dispatched(scene)
 
 
 @pytest.mark.parametrize("waited", [None, 0, 2 * S])
@@ -238,13 +240,13 @@
 
 
 def test_unanswered_calls_end_the_lease_once_discovery_may_have_restarted():
-    """Discovery went down, and came back at an unknown time, but not within RESTART_TIME."""
+    """Discovery went down, and came back at an unknown time, perhaps at once."""
     scene = scene_with_list()
     scene.agent.on_list(ours.UNREACHABLE, [])
     for _ in range(3):
         scene.pass_to(scene.engine.now + 2 * S)
         scene.agent.on_list(ours.UNANSWERED, [], waited=2 * S)
-    expiry = 10 * S + list_lease.RESTART_TIME + TRUSTED - list_lease.LEASE_MARGIN
+    expiry = 10 * S + TRUSTED - list_lease.LEASE_MARGIN
     scene.pass_to(expiry - MS)
     assert dispatched(scene)
     scene.pass_to(expiry)
@@ -270,7 +272,7 @@
     if gone_first:
         scene.agent.on_list(ours.UNREACHABLE, [])
     scene.agent.on_list(ours.UNANSWERED, [], waited=0)
-    end = 10 * S + TRUSTED - list_lease.LEASE_MARGIN + (list_lease.RESTART_TIME if gone_first else 0)
+    end = 10 * S + TRUSTED - list_lease.LEASE_MARGIN
     while scene.engine.now < end - S:
         scene.pass_to(scene.engine.now + S)
         scene.agent.on_list(ours.UNREACHABLE, [])
--- a/tests/virtual_discovery.py
+++ b/tests/virtual_discovery.py
@@ -196,7 +196,8 @@
 
     def keep_calls_waiting(self, seconds: float) -> None:
         """Has so many others call for so long that no further call gets its turn."""
-        self._free_at = max(self._free_at, self.loop.time() + seconds + MAX_QUEUE_TIME)
+        if seconds:
+            self._free_at = max(self._free_at, self.loop.time() + seconds + MAX_QUEUE_TIME)
 
     def move(self, address: str) -> None:
         """Moves discovery to another address, as the agent gets SIGHUP."""
--- a/tests/virtual_scenario.py
+++ b/tests/virtual_scenario.py
@@ -38,11 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Down:
-    """Discovery is down; once it is up, handling a crowd of other callers takes `crowd` seconds."""
+    """Discovery is down; once it is up, handling a crowd of other callers takes `crowd` seconds.
+
+    No call of the agent gets its turn for `calls_wait` seconds after that.
+    """
 
     seconds: float
     hangs: bool
     crowd: float
+    calls_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,9 +209,9 @@
         for change in episode.changes:
             self.loop.call_later(change.at, self._change, change)
         match episode.disturbance:
-            case Down(seconds, hangs, crowd):
+            case Down(seconds, hangs, crowd, calls_wait):
                 self.discovery.go_down(hangs)
-                self.loop.call_later(seconds, self._come_up, crowd)
+                self.loop.call_later(seconds, self._come_up, crowd, calls_wait)
             case Silent():
                 self.discovery.fall_silent()
             case Cut(seconds, resets):
@@ -246,9 +250,10 @@
             now = ADDRESSES.index(self.discovery.address)
             self.agent.sighup(ADDRESSES[(now + 1) % len(ADDRESSES)])
 
-    def _come_up(self, crowd: float) -> None:
+    def _come_up(self, crowd: float, calls_wait: float = 0.0) -> None:
         self.discovery.come_up()
         self.discovery.crowd(crowd)
+        self.discovery.keep_calls_waiting(calls_wait)
 
     def _change(self, change: Change) -> None:
         self.discovery.change(f"s{change.server}", change.status)
