Soak: a drain counts as announced 4 s after SIGHUP

Change: the times at which agents are sent SIGHUP are kept, and a change counts as announced 4.15 s later (0.15 s for a process that is stopped), unless discovery was down meanwhile or the process ended. Schedules are drawn as before.

The oracle's test has both sides of the bound.

--- a/cartweir/soak/processes.py
+++ b/cartweir/soak/processes.py
@@ -160,6 +160,8 @@
             life.terminated_at = monotonic()
         elif number == signal.SIGKILL:
             life.killed_at = monotonic()
+        elif number == signal.SIGHUP:
+            life.hung_up_at.append(monotonic())
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
 
--- a/cartweir/soak/rules.py
+++ b/cartweir/soak/rules.py
@@ -17,6 +17,8 @@
 MS, SECOND = 1_000, 1_000_000
 SLACK = 50 * MS  # by which each time limit is longer on sockets
 ANNOUNCED_WITHIN = 6 * SECOND  # a change counts as announced by then, whether it arrived or not
+ANNOUNCED_AFTER_HANGUP = 4 * SECOND  # the same after SIGHUP
+STOPPED_TIME = 150 * MS  # a stopped process may get a signal so much later
 ANSWER_GRACE = SECOND // 2  # an answer that comes later than that after the time limit is lost
 LEFT_GRACE = 100 * MS  # an attempt may begin so long after its client has closed
 FORWARD_SLACK = 150 * MS  # by which the time told to a server may exceed what is left to the client
@@ -61,6 +63,7 @@
         known_version: The version of the list that it was given.
         terminated_at: When it was first sent SIGTERM; 0 if it was not.
         killed_at: When it was sent SIGKILL; 0 if it was not.
+        hung_up_at: When it was sent SIGHUP.
         exit_code: With which it ended by itself; None: it did not.
         errors: Lines on its standard error that tell of an internal error.
         peak_memory: Resident bytes that were seen at most.
@@ -73,6 +76,7 @@
     known_version: int
     terminated_at: int = 0
     killed_at: int = 0
+    hung_up_at: list[int] = field(default_factory=list)
     exit_code: int | None = None
     errors: list[str] = field(default_factory=list)
     peak_memory: int = 0
@@ -125,7 +129,25 @@
         written = min(
             (told.at for told in self._told[agent] if told.version >= listing.version), default=1 << 62
         )
-        return min(written, self._announced_at(listing))
+        return min(written, self._announced_at(listing), self._announced_by_hangup(agent, listing))
+
+    def _announced_by_hangup(self, agent: int, listing: Listing) -> int:
+        """Returns when it counts as announced to an agent because the agent was sent SIGHUP."""
+        found = 1 << 62
+        lives = [life for life in self.lives if life.agent == agent]
+        for life, later in zip(lives, [*lives[1:], None], strict=True):
+            for hung_up_at in life.hung_up_at:
+                due = hung_up_at + STOPPED_TIME + ANNOUNCED_AFTER_HANGUP
+                is_over = later is not None and later.began_at <= due
+                if listing.at <= due and not is_over and not self._was_down(hung_up_at, due):
+                    found = min(found, due)
+        return found
+
+    def _was_down(self, begin: int, end: int) -> bool:
+        """Returns whether discovery was down at any time between these."""
+        return self._mode_at(begin) == DOWN or any(
+            begin <= at <= end and mode == DOWN for at, mode in self.modes
+        )
 
     def _announced_at(self, listing: Listing) -> int:
         """Returns when it counts as announced to everybody: discovery could be reached for long enough."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -228,6 +228,22 @@
     assert set(rules(found)) == {rule}
 
 
+@pytest.mark.parametrize(
+    "after,modes,found",
+    [
+        (5_190, ((0, UP),), []),
+        (5_210, ((0, UP),), [3]),
+        (5_210, ((0, UP), (SECOND, DOWN), (2 * SECOND, UP)), []),
+    ],
+)
+def test_a_drain_counts_as_announced_4_s_after_sighup(after, modes, found):
+    """With 0.15 s for a process that is stopped, the grace of 1 s and 0.05 s on sockets."""
+    listings = [listing(1), listing(2, "draining", SECOND)]
+    sent = attempt("r", 500 * MS + after * MS)
+    asked = request("r", at=sent.at - 10 * MS)
+    assert rules(evidence([asked], [sent], listings, modes=modes, hung_up_at=[500 * MS])) == found
+
+
 def test_a_drain_that_could_not_be_announced_is_no_breach():
     """Discovery was down until after the request, and wrote nothing."""
     found = evidence(
