--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -1,5 +1,7 @@
-"""The users' site as other customers might have it: deploy/sites/NAME.changes.toml, what differs, makes the whole NAME.toml,
-with what the users' bench wants beside it. What is made holds text of the users' kit, and is kept out of the repository.
+"""Makes sites of other customers for the users' bench.
+
+`deploy/sites/NAME.changes.toml` holds what differs from the users' own site; NAME.toml is written beside it,
+with the files that the bench reads there. They hold text of the users' kit, and stay out of the repository.
 
     ./dev sites                     # all of them
     ./dev sites few-long            # one
@@ -23,11 +25,19 @@
 
 
 class SiteError(Exception):
-    """Place, reason, and what would be right."""
+    """A site cannot be made; the message says where, why, and what is expected."""
 
 
 def changed(base: Any, changes: Any, place: str = "") -> Any:
-    """Tables are merged; a list of tables is a new one, of which a row may begin like one of the users'."""
+    """Returns a value with changes applied.
+
+    Tables are merged. A list of tables replaces the old one; its rows may take over old rows (`like`).
+
+    Args:
+        base: The value of the users' site.
+        changes: What differs.
+        place: Where it stands, for messages.
+    """
     if isinstance(base, dict) and isinstance(changes, dict):
         merged = dict(base)
         for name, value in changes.items():
@@ -53,7 +63,11 @@
 
 
 def make(name: str, users: Path = USERS, changes: Path = CHANGES) -> Path:
-    """Raises SiteError."""
+    """Writes a whole site and returns its path.
+
+    Raises:
+        SiteError: The users' kit or the changes are missing, or the changes cannot be applied.
+    """
     if not (users / BASE).is_file():
         raise SiteError(
             f"{users / BASE} is not here: sites are made where the users' kit lies beside the repository"
@@ -79,6 +93,7 @@
 
 
 def main() -> int:
+    """Makes the sites that the command line names, and returns the exit code."""
     parser = argparse.ArgumentParser(description="Whole sites of other customers, for the users' bench.")
     parser.add_argument("names", nargs="*", help="variants; all of them by default")
     names = parser.parse_args().names or sorted(
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -1,9 +1,10 @@
-"""What a start costs: an agent's processor time until it listens, by part, and how long that takes on part of a core.
+"""Measures what a start costs: processor time until an agent listens, and the wait on a part of a core.
 
     ./dev start [--runs 15] [--shares 0.1,0.3,1]
 
-Parts are told by one process that loads them in turn and asks what it has used; as shares of the whole. A part of a core is made by stopping
-the process again and again (SIGSTOP, 20 ms a round), so that it runs for that share of each round."""
+One process loads the parts in turn and measures what each has used, as shares of the whole. A part of a core
+is made by stopping the process again and again (SIGSTOP), so that it runs for that share of each round.
+"""
 
 from __future__ import annotations
 
@@ -20,7 +21,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[1]
-ROUND = 0.02
+ROUND = 0.02  # seconds in which the process runs and is stopped once
 SETTINGS = """[agent]
 listen = 127.0.0.1:0
 [registry]
@@ -67,7 +68,7 @@
 
 
 def by_part(parts: dict[str, str], runs: int) -> dict[str, float]:
-    """Medians of processor seconds."""
+    """Returns the median of the processor seconds of each part, and the memory at the end."""
     rows = [
         json.loads(
             subprocess.run(
@@ -84,7 +85,7 @@
 
 
 def started(file: Path, share: float) -> float:
-    """Seconds from exec until it says that it listens."""
+    """Returns the seconds from the start of an agent until it logs that it listens."""
     began = time.monotonic()
     process = subprocess.Popen(
         [sys.executable, "-m", "cartweir", "agent", "-s", str(file)],
@@ -116,6 +117,7 @@
 
 
 def main() -> None:
+    """Measures both agents and prints the figures as ratios."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--runs", type=int, default=15)
     parser.add_argument("--shares", default="0.1,0.3,1")
--- a/cartweir/standin/clients.py
+++ b/cartweir/standin/clients.py
@@ -1,4 +1,4 @@
-"""Light clients on our own wire: seeded arrivals, popular keys, retries of their own, deadlines of their own."""
+"""Light gRPC clients: seeded arrivals, popular keys, retries and time limits of their own."""
 
 from __future__ import annotations
 
@@ -18,10 +18,24 @@
 from ..wire.grpc import Status
 from .appliance import MARK, OPERATION
 
+CONNECT_TIMEOUT = 1_000_000  # microseconds
+MIN_TIME_LEFT = 20_000  # microseconds; a call with less left of its time limit is not tried again
+BODY = b"." * 200
+
 
 @dataclass
 class Kind:
-    """Of calls. Times in microseconds; share beside other kinds."""
+    """A kind of calls; times in microseconds.
+
+    Attributes:
+        operation: The operation's name.
+        path: The gRPC method's path.
+        share: How often it is called, relative to other kinds.
+        work: Mean work of a call.
+        slo_time: Within which an answer counts as in time.
+        time_limit: After which the client gives up.
+        marked: A call carries a mark by which repeats are recognized.
+    """
 
     operation: str
     path: str
@@ -29,7 +43,20 @@
     work: int
     slo_time: int
     time_limit: int
-    marked: bool = False  # carries a mark against repeats
+    marked: bool = False
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    """One attempt at a call, as it is sent; times in microseconds."""
+
+    kind: Kind
+    address: str
+    time_limit: int
+    work: int
+    key: int
+    mark: bytes
+    number: int
 
 
 @dataclass
@@ -52,7 +79,7 @@
     def __post_init__(self) -> None:
         self.chance = random.Random(self.seed)
         self._channels = {
-            address: [Channel(address, 1_000_000, tap=self.tap) for _ in range(self.connections)]
+            address: [Channel(address, CONNECT_TIMEOUT, tap=self.tap) for _ in range(self.connections)]
             for address in self.addresses
         }
         self._running: set[asyncio.Task] = set()
@@ -82,7 +109,7 @@
         self.ended.append((began, monotonic() - began, succeeded))
 
     async def _call(self, kind: Kind, chance: random.Random, began: int) -> bool:
-        """One call with its client's own retries, told apart by metadata."""
+        """Makes one call with its client's own retries; returns whether it succeeded."""
         work = max(1000, int(kind.work * chance.lognormvariate(-0.125, 0.5)))
         key = chance.choices(range(self.keys), cum_weights=self._weights)[0]
         mark = b"%x" % chance.getrandbits(64)
@@ -90,10 +117,11 @@
         self.counts[kind.operation, "asked"] += 1
         for number in range(self.retries + 1):
             left = began + kind.time_limit - monotonic()
-            if left < 20_000:
+            if left < MIN_TIME_LEFT:
                 break
             patience = min(left, int(kind.time_limit * chance.uniform(self.try_share, 1.0)))
-            how, pushback = await self._try(kind, address, patience, work, key, mark, number, chance)
+            attempt = _Attempt(kind, address, patience, work, key, mark, number)
+            how, pushback = await self._try(attempt, chance)
             self.counts[kind.operation, how] += 1
             if how == "succeeded":
                 late = monotonic() - began > kind.slo_time
@@ -106,32 +134,23 @@
             await asyncio.sleep(max(pushback or 0, chance.uniform(0.02, 0.06) * 2**number * 1000) / 1000)
         return False
 
-    async def _try(
-        self,
-        kind: Kind,
-        address: str,
-        patience: int,
-        work: int,
-        key: int,
-        mark: bytes,
-        number: int,
-        chance: random.Random,
-    ) -> tuple[str, int | None]:
+    async def _try(self, attempt: _Attempt, chance: random.Random) -> tuple[str, int | None]:
+        """Sends an attempt; returns how it ended, and the advised delay in milliseconds if there is one."""
         self._tries += 1
         metadata = [
             (ATTEMPT_HEADER, b"%d-%d" % (self.seed, self._tries)),
-            (WORK, grpc.encode_timeout(work)),
-            (KEY, b"k%d" % key),
-            (OPERATION, kind.operation.encode()),
-            (CUSTOMER, b"c%d" % (key % 4)),
+            (WORK, grpc.encode_timeout(attempt.work)),
+            (KEY, b"k%d" % attempt.key),
+            (OPERATION, attempt.kind.operation.encode()),
+            (CUSTOMER, b"c%d" % (attempt.key % 4)),
         ]
-        if kind.marked:
-            metadata.append((MARK, mark))
-        if number:
+        if attempt.kind.marked:
+            metadata.append((MARK, attempt.mark))
+        if attempt.number:
             metadata.append((RETRY, b"1"))
-        channel = chance.choice(self._channels[address])
+        channel = chance.choice(self._channels[attempt.address])
         try:
-            await channel.unary(kind.path, b"." * 200, patience, metadata)
+            await channel.unary(attempt.kind.path, BODY, attempt.time_limit, metadata)
             return "succeeded", None
         except CallError as error:
             answer = grpc.find(error.metadata, ANSWER)
@@ -146,6 +165,7 @@
             return "answered " + Status(error.status).name, pushback
 
     def close(self) -> None:
+        """Closes all connections."""
         for channels in self._channels.values():
             for channel in channels:
                 channel.close()
--- a/cartweir/standin/steer.py
+++ b/cartweir/standin/steer.py
@@ -1,4 +1,4 @@
-"""Steers a running field by short texts over one call."""
+"""Commands to running stand-ins, as short texts over one gRPC call."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Steering(Service):
-    """Of those that run in this process."""
+    """Takes the commands for the stand-ins that run in this process."""
 
     def __init__(self, registry: Registry | None, fleet: Fleet | None, conveyor: Conveyor | None) -> None:
         super().__init__()
@@ -34,7 +34,7 @@
         return b""
 
     def do(self, words: list[str]) -> None:
-        """Raises ValueError with what would be right."""
+        """Carries out a command; raises ValueError with what is expected."""
         match words:
             case ["registry", "fail", flag] if self.registry:
                 self.registry.fail(flag == "1")
@@ -69,7 +69,7 @@
 
 
 def _quality(parts: list[str]) -> Quality:
-    """'errors=0.3 late=3s' and the like."""
+    """Returns the quality of a build that words such as `errors=0.3` and `late=3s` describe."""
     kinds, values = {f.name: f.type for f in fields(Quality)}, {}
     for part in parts:
         name, equals, value = part.partition("=")
@@ -90,11 +90,12 @@
         spawn(self._tell())
 
     def put(self, entry: pb.Entry, started: int = 0) -> None:
+        """Has an entry listed; started: when its machine did, in microseconds, 0 for long ago."""
         entry.age = max(1, monotonic() - started) if started else 0
         self._order.put_nowait(entry.SerializeToString())
 
     async def _tell(self) -> None:
-        """In order, each until it has been heard."""
+        """Sends the entries in order, each until it has been taken."""
         while True:
             entry = await self._order.get()
             while True:
@@ -107,13 +108,18 @@
 
 @dataclass(eq=False)
 class RemoteMachine:
+    """A machine in another process."""
+
     ident: str
     build: int
     leaving: bool = False
 
 
 class RemoteFleet:
-    """Machines in another process, as a conveyor sees them: by the registry's list and by texts to their process."""
+    """Machines in another process, as a conveyor sees them.
+
+    They are known by the registry's list, and steered by commands to their process.
+    """
 
     def __init__(self, steer: str, registry: str, make: Make) -> None:
         self.channel, self.registry, self.make = Channel(steer, 1_000_000), Channel(registry, 1_000_000), make
@@ -122,6 +128,8 @@
         spawn(self._watch())
 
     def say(self, text: str) -> None:
+        """Sends a command; a failure is printed."""
+
         async def send_it() -> None:
             try:
                 await self.channel.unary(PATH, text.encode(), 2_000_000)
@@ -131,12 +139,15 @@
         spawn(send_it())
 
     def launch(self, build: int) -> None:
+        """Has a machine of a build started."""
         self.say(f"machine launch {build}")
 
     def drain(self, machine: RemoteMachine) -> None:
+        """Has a machine finish what it has."""
         self.say(f"machine drain {machine.ident}")
 
     def stop(self, machine: RemoteMachine) -> None:
+        """Has a machine ended."""
         self.say(f"machine stop {machine.ident}")
 
     async def _watch(self) -> None:
@@ -174,7 +185,7 @@
 
 
 async def send(address: str, text: str, path: str = PATH) -> None:
-    """Raises ValueError with the field's own words."""
+    """Sends a command to the stand-ins at an address; raises ValueError with their reason to refuse it."""
     channel = Channel(address, 1_000_000)
     try:
         await channel.unary(path, text.encode(), 2_000_000)
