Node: a stream of updates that never pauses keeps renewing the lease on the list

What callers would see: requests refused on while discovery has so much to tell that each read ends within an update, for longer than the lease.

Cause: an update with a part of the next one behind it renewed nothing, and the time up to which nothing can have been missed stood still.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -125,8 +125,8 @@
             changed: the appliances that have changed.
             waited: without an answer, how long one was waited for, None: for an unknown time, not by this
                 agent; of an update, for how long it has been arriving.
-            confirms: nothing more of discovery's is known to be under way. An update that has more behind
-                it, or comes from an address that has been replaced, renews nothing.
+            confirms: no further update has arrived with it. One that has another behind it, or comes from an
+                address that has been replaced, renews nothing.
         """
         if confirms:
             self.list_lease.update(status, self.host.now, waited)
--- a/cartweir/node/discovery.py
+++ b/cartweir/node/discovery.py
@@ -64,6 +64,8 @@
     Attributes:
         current_at: Up to when no change can have been missed: the start, then each heartbeat and the begin of
             each object.
+        arriving: For how many microseconds the value that the last read completed was arriving before that
+            read; not 0 if a part of the next one is behind it.
         watching: A watch has delivered a list; it ends only when discovery does.
     """
 
@@ -72,6 +74,7 @@
         self.parser = StreamedResponseParser()
         self.values = JsonStream(MAX_LIST_BYTES)
         self.current_at = now()
+        self.arriving = 0
         self.watching = False
         self._started_at = self._read_at = self._value_began_at = self.current_at
         self._answered = False
@@ -96,15 +99,15 @@
         found = self.values.feed(self.parser.take(data))
         if self.parser.status not in (0, protocol.OK_STATUS):
             raise CallFailedError(f"status {self.parser.status}")
-        if self.values.between_values and (found or self.watching):
-            self.current_at = self._value_began_at
+        began_at = self._value_began_at
+        if found or (self.watching and self.values.between_values):
+            self.current_at = began_at
+        self.arriving = self._read_at - began_at
+        if found and not self.values.between_values:  # the next one is behind it
+            self.arriving = max(1, self.arriving)
+            self._value_began_at = self._read_at
         return found
 
-    @property
-    def arriving(self) -> int:
-        """For how many microseconds the value that the last read completed was arriving before that read."""
-        return self._read_at - self._value_began_at
-
     async def _read_bytes(self, timeout: int) -> bytes:
         try:
             async with asyncio.timeout(timeout / 1e6):  # asyncio.wait_for may swallow a cancellation
@@ -207,8 +210,8 @@
             while True:
                 values = await call.read()
                 for number, value in enumerate(values, 1):
-                    is_last = number == len(values) and call.values.between_values
-                    self._apply_answer(value, call.arriving, confirms=is_last and self._watch is this_task)
+                    confirms = number == len(values) and self._watch is this_task
+                    self._apply_answer(value, call.arriving, confirms=confirms)
                     call.watching = True
                     if old is not None:
                         old.cancel()
--- a/tests/test_discovery_moved.py
+++ b/tests/test_discovery_moved.py
@@ -18,6 +18,7 @@
 from cartweir import interface as ours
 from cartweir.logic import list_lease
 from cartweir.logic.list_lease import ANNOUNCED_AFTER_MOVE, ANNOUNCED_WITHIN, LEASE_MARGIN
+from cartweir.node.discovery import _Call
 
 MOVED_AT = 10 * S
 KEEPS_NO_CHANGES = replace(SLOW, changes_kept=0)
@@ -134,6 +135,36 @@
     expect_end_of_lease(scene, 7 * S + ANNOUNCED_WITHIN + GRACE - LEASE_MARGIN)
 
 
+class ScriptedStream:
+    """Yields prepared reads, each a second after the one before."""
+
+    def __init__(self, *reads: bytes) -> None:
+        self.reads, self.now = list(reads), 0
+
+    async def read_bytes(self, most: int, partial: bool) -> bytes:
+        self.now += S
+        data = self.reads.pop(0)
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def test_updates_of_which_each_read_holds_the_end_and_a_begin_ended_the_lease():
+    """Guards against a list that counts as old for as long as discovery has much to tell."""
+    update = b'{"index":2,"snapshot":false,"endpoints":[]}\n'
+    stream = ScriptedStream(b"\n", update[:9], *[update[9:] + update[:9]] * 20, update[9:], b"\n")
+    call = _Call(stream, lambda: stream.now)
+    call.parser.take(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    call.watching = True
+    asyncio.run(call.read())
+    assert (call.current_at, call.arriving) == (S, 0)
+    asyncio.run(call.read())
+    assert call.current_at == S
+    for second in range(3, 24):
+        asyncio.run(call.read())
+        assert (call.current_at, call.arriving) == ((second - 1) * S, S)
+    asyncio.run(call.read())
+    assert (call.current_at, call.arriving) == (24 * S, 0)
+
+
 # ---- the node on sockets ----
 class SilentDiscovery(Discovery):
     """Accepts each call, and writes the first bytes of a list, one at a time, until `release` is set."""
