Ids that may have run: the time of an id begins anew each time it comes

Cause: ExecutedRequests entered an id as its request ended and dropped it with the older generation 30 to 60 s later. That the id came meanwhile and was refused for being known did not count.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -14,7 +14,7 @@
 
 
 class ExecutedRequests:
-    """Remembers ids for `GENERATION_TIME` at least, unless very many come."""
+    """Remembers ids for `GENERATION_TIME` at least since they last came, unless very many come."""
 
     def __init__(self, now: int) -> None:
         """Remembers none yet; now: in microseconds."""
@@ -31,10 +31,13 @@
             self._recent.add(hash(request_id))
 
     def contains(self, request_id: bytes, now: int) -> bool:
-        """Returns whether a request with this id may have run."""
+        """Returns whether a request with this id may have run; if so, its time begins anew."""
         self._forget_old(now)
         key = hash(request_id)
-        return key in self._recent or key in self._older
+        if key in self._older:
+            self._older.remove(key)
+            self._recent.add(key)
+        return key in self._recent
 
     def _forget_old(self, now: int) -> None:
         if now - self._began >= GENERATION_TIME or len(self._recent) >= MAX_GENERATION:
--- /dev/null
+++ b/tests/test_ids_that_may_have_run.py
@@ -0,0 +1,153 @@
+"""An id that may have run is never run again: drawn orders of requests, repeats, ends and pauses."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from virtual_front import Script, SentRequest, VirtualFront, play
+
+from cartweir import interface as ours
+
+REMEMBERED = 29.0  # seconds since an id last came for which it is known at least
+SETTLED = 4.0  # seconds in which every request is answered
+CONFLICT = 409
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A client sends a request with a new id."""
+
+    operation: str
+    script: Script
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The client of an earlier request closes its connection."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Repeat:
+    """A client sends an earlier request again, so many times, one of them each `every` seconds."""
+
+    index: int
+    times: int
+    every: float
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """The agent receives SIGHUP."""
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """The agent receives SIGTERM."""
+
+
+RESULTS = [
+    ours.SUCCEEDED,
+    ours.ERROR,
+    ours.RESET,
+    ours.FULL,
+    ours.UNCONNECTED,
+    None,
+]
+SCRIPTS = st.builds(Script, st.sampled_from(RESULTS), st.sampled_from([0.001, 0.02, 0.4, 2.5]))
+INDEXES = st.integers(0, 5)
+SHORT = st.floats(0.0, 3.0)
+ABOUT_HALF = st.floats(25.0, REMEMBERED)
+STEPS = st.one_of(
+    st.builds(Ask, st.sampled_from(["issue", "view"]), SCRIPTS),
+    st.builds(Leave, INDEXES),
+    st.builds(Repeat, INDEXES, st.integers(1, 60), SHORT),
+    st.builds(Repeat, INDEXES, st.integers(1, 8), ABOUT_HALF),
+    st.builds(Pause, st.one_of(SHORT, ABOUT_HALF)),
+    st.just(Reload()),
+    st.just(Drain()),
+)
+
+
+class Scenario:
+    """Plays steps, and checks each answer to an id that comes again.
+
+    Attributes:
+        virtual: The front.
+        asked: The requests with a new id.
+        came_at: When an id last came, in seconds.
+        lapsed: Ids that came again after more than `REMEMBERED`.
+    """
+
+    def __init__(self, virtual: VirtualFront) -> None:
+        self.virtual = virtual
+        self.asked: list[SentRequest] = []
+        self.came_at: dict[str, float] = {}
+        self.lapsed: set[str] = set()
+
+    async def play(self, steps) -> None:
+        for step in steps:
+            await self._play(step)
+        await asyncio.sleep(SETTLED)
+        for request in self.asked:
+            if request.operation != "view" and request.id not in self.lapsed:
+                assert self.virtual.runs.may_have_run(request.id) <= 1
+
+    async def _play(self, step) -> None:
+        match step:
+            case Ask(operation, script):
+                self._ask(operation, script)
+            case Leave(index) if index < len(self.asked):
+                self.asked[index].leave()
+            case Repeat(index, times, every) if index < len(self.asked):
+                for _ in range(times):
+                    self._send_again(self.asked[index])
+                    await asyncio.sleep(every)
+            case Pause(seconds):
+                await asyncio.sleep(seconds)
+            case Reload():
+                self.virtual.engine_host.discovery_moved()
+            case Drain() if not self.virtual.front.draining:
+                self.virtual.front.drain()
+
+    def _ask(self, operation: str, script: Script) -> None:
+        request_id = f"id-{len(self.asked)}"
+        self.virtual.scripts[request_id] = script
+        self.asked.append(self.virtual.send(request_id, operation))
+        self.came_at[request_id] = asyncio.get_running_loop().time()
+
+    def _send_again(self, first: SentRequest) -> None:
+        """Sends a request again; it is refused if it may have run, and served if nothing did."""
+        now = asyncio.get_running_loop().time()
+        may_have_run = first.operation != "view" and self.virtual.runs.may_have_run(first.id)
+        open_now = first.id.encode() in self.virtual.front.calls
+        known = now - self.came_at[first.id] <= REMEMBERED
+        self.came_at[first.id] = now
+        if not known:
+            self.lapsed.add(first.id)
+        status = self.virtual.send(first.id, first.operation).status
+        if open_now or (may_have_run and known):
+            assert status == CONFLICT
+        elif not may_have_run:
+            assert status != CONFLICT
+
+
+QUICK = Script(ours.SUCCEEDED, 0.02)
+
+
+@settings(max_examples=120, deadline=None)
+@given(st.lists(STEPS, min_size=2, max_size=12))
+@example([Ask("issue", QUICK), Repeat(0, 60, 1.3)])  # review/6
+@example([Ask("issue", Script(None, 0)), Leave(0), Repeat(0, 4, REMEMBERED)])
+def test_an_id_that_keeps_coming_is_not_run_again(steps):
+    """Guards against ids that were forgotten 30 to 60 s after their end, however often they came."""
+    play(lambda virtual: Scenario(virtual).play(steps))
