Ids that may have run: a throttled fingerprinted request is remembered

What callers saw: a fingerprinted request whose attempt had not been answered in time was throttled (429). The same id sent again was run again, however long after the window in which appliances drop repeats.

Cause: ClientCall.throttle did not record the id. For a fingerprinted operation whose group is all, Agent.give_up throttles although the attempt may have run.

Why this works: throttle() records like the other ends do; record() keeps only ids whose attempts may have run, so a request of which nothing ran is served when it comes again. The test asks for both.

--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -111,7 +111,11 @@
         self._respond(200, whole)
 
     def throttle(self, retry_after: int) -> None:
-        """Responds that nothing ran; retry_after: microseconds after which to retry, 0 for none."""
+        """Responds that a retry does no harm; retry_after: microseconds until then, 0 for no advice.
+
+        A fingerprinted request may have run all the same.
+        """
+        self._record_executed()
         self._respond(429, headers=retry_headers(retry_after))
 
     def terminate(self) -> None:
--- a/tests/test_ids_that_may_have_run.py
+++ b/tests/test_ids_that_may_have_run.py
@@ -68,7 +68,7 @@
 SHORT = st.floats(0.0, 3.0)
 ABOUT_HALF = st.floats(25.0, REMEMBERED)
 STEPS = st.one_of(
-    st.builds(Ask, st.sampled_from(["issue", "view"]), SCRIPTS),
+    st.builds(Ask, st.sampled_from(["issue", "order", "view"]), SCRIPTS),
     st.builds(Leave, INDEXES),
     st.builds(Repeat, INDEXES, st.integers(1, 60), SHORT),
     st.builds(Repeat, INDEXES, st.integers(1, 8), ABOUT_HALF),
@@ -141,6 +141,7 @@
             assert status != CONFLICT
 
 
+SLOW = Script(ours.SUCCEEDED, 2.5)
 QUICK = Script(ours.SUCCEEDED, 0.02)
 
 
@@ -148,6 +149,7 @@
 @given(st.lists(STEPS, min_size=2, max_size=12))
 @example([Ask("issue", QUICK), Repeat(0, 60, 1.3)])  # review/6
 @example([Ask("issue", Script(None, 0)), Leave(0), Repeat(0, 4, REMEMBERED)])
+@example([Ask("order", SLOW), Pause(SETTLED), Repeat(0, 1, 0.0)])  # its client was told to retry
 def test_an_id_that_keeps_coming_is_not_run_again(steps):
-    """Guards against ids that were forgotten 30 to 60 s after their end, however often they came."""
+    """Guards against ids forgotten 30 to 60 s after their end, and against those that were throttled."""
     play(lambda virtual: Scenario(virtual).play(steps))
