Ids that may have run: no older id is forgotten for a new one

Cause: ExecutedRequests ended a generation of ids early once it held 4,096, so two full generations forgot all older ids, whoever had brought the new ones.

The property test with crowds of new ids (drawn beside answers, leaving, repeats, SIGHUP, drain) asks the same at a table of 256 places.

Why this works: ids stand in a set-associative table of a fixed size (logic/id_table.py, two buckets of 16 places an id), each from before its first attempt on, and give their place back if nothing ran. A place is used again only once its id has lapsed. Where a new id finds no place, its request is throttled (429, Retry-After) before anything is sent. The table takes an eighth of the memory that is free at the start, which is taken off the part of requests.

test_executed_requests.py and test_id_table.py replace test_ids_are_forgotten_after_two_generations_and_ever_new_ones_do_not_pile_up, which asked for the fault (forgotten for new ones): they ask that the memory is bounded, that ids lapse, and that none gives way to new ones.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -1,16 +1,32 @@
 """Ids of requests that may have run, and must not run again under the same id.
 
 A client gives each request an id of its own. An id that comes again after its client has left, or after its
-answer, would run a second time. Two generations of ids are kept, so that forgetting costs nothing.
+answer, would run a second time. So an id has its place from before the first attempt on; it gives the place
+back if it turns out that nothing ran, and keeps it for a time otherwise. Where there is no place for a new
+id, its request is not taken: no older id is forgotten for it.
 """
 
 from __future__ import annotations
 
 from ..interface import IDEMPOTENT, NEVER_RAN, Invocation
+from .id_table import PLACE_BYTES, IdTable
 from .timing import SECOND
 
-GENERATION_TIME = 30 * SECOND
-MAX_GENERATION = 4_096  # ids; a full generation ends early
+RETENTION = 60 * SECOND  # since an id last came, and as long as a request may be open
+MEMORY_SHARE = 8  # one part in this many of the memory that is free at the start
+MIN_PLACES = 16_384
+MAX_PLACES = 1 << 20
+
+
+def remembered_ids_limit(memory_limit: int, resident: int) -> int:
+    """Returns how many ids may be remembered.
+
+    Args:
+        memory_limit: Bytes that the process may have.
+        resident: Bytes that it has without a request.
+    """
+    places = (memory_limit - resident) // MEMORY_SHARE // PLACE_BYTES
+    return max(MIN_PLACES, min(MAX_PLACES, places))
 
 
 def may_have_run(invocation: Invocation) -> bool:
@@ -19,37 +35,43 @@
 
 
 class ExecutedRequests:
-    """Remembers ids for `GENERATION_TIME` at least since they last came, unless very many come."""
-
-    def __init__(self, now: int) -> None:
-        """Remembers none yet; now: in microseconds."""
-        self._recent: set[int] = set()
-        self._older: set[int] = set()
-        self._began = now
+    """The ids of requests that may have run."""
 
-    def record(self, request_id: bytes, effect: str, invocation: Invocation | None, now: int) -> None:
-        """Remembers the id of a request that has ended, if it may have run and must not do so again.
+    def __init__(self, limit: int, longest_request: int, now: int) -> None:
+        """Remembers none yet.
 
         Args:
-            request_id: Its id.
-            effect: The effect of its operation.
-            invocation: Its invocation; None if an error broke it off as it began, at whatever point.
+            limit: How many ids it remembers at most.
+            longest_request: For how many microseconds a request may be open.
             now: In microseconds.
         """
-        if effect != IDEMPOTENT and (invocation is None or may_have_run(invocation)):
-            self._forget_old(now)
-            self._recent.add(hash(request_id))
+        self._ids = IdTable(limit, RETENTION + longest_request, now)
+
+    @property
+    def memory(self) -> int:
+        """The bytes that it takes, however many ids it remembers."""
+        return self._ids.places * PLACE_BYTES
 
     def contains(self, request_id: bytes, now: int) -> bool:
         """Returns whether a request with this id may have run; if so, its time begins anew."""
-        self._forget_old(now)
-        key = hash(request_id)
-        if key in self._older:
-            self._older.remove(key)
-            self._recent.add(key)
-        return key in self._recent
-
-    def _forget_old(self, now: int) -> None:
-        if now - self._began >= GENERATION_TIME or len(self._recent) >= MAX_GENERATION:
-            self._older, self._recent = self._recent, set()
-            self._began = now
+        return self._ids.renew(request_id, now)
+
+    def reserve(self, request_id: bytes, effect: str, now: int) -> bool:
+        """Remembers the id of a request before it runs; returns False if there is no place for it."""
+        return effect == IDEMPOTENT or self._ids.add(request_id, now)
+
+    def settle(self, request_id: bytes, effect: str, invocation: Invocation | None, throttled: bool) -> None:
+        """Forgets the id of a request that has ended, if nothing ran.
+
+        Args:
+            request_id: Its id.
+            effect: The effect of its operation.
+            invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or
+                an error broke it off, at whatever point.
+            throttled: Whether it ended with a throttling reply.
+        """
+        if effect == IDEMPOTENT:
+            return
+        nothing_ran = throttled if invocation is None else not may_have_run(invocation)
+        if nothing_ran:
+            self._ids.remove(request_id)
--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -76,8 +76,8 @@
     def record_refusal(self, client: ClientConnection, status: int, reason: str) -> None:
         """Counts a refused request."""
 
-    def record_executed(self, call: ClientCall) -> None:
-        """Remembers the id of a request that may have run, and needs no answer any more."""
+    def settle(self, call: ClientCall, throttled: bool = False) -> None:
+        """Forgets the id of a request that needs no response any more, if nothing ran."""
 
     def set_accepting(self, accepting: bool) -> None:
         """Watches the listener for new connections, or stops watching it."""
@@ -114,7 +114,7 @@
     def succeed(self, head: Any, body: list[bytes], tail: Any) -> None:
         """Responds with an appliance's body."""
         whole = b"".join(body)
-        self._record_executed()
+        self._settle()
         if self.client is not None:
             self.client.front.memory.record_response(len(whole))
         self._respond(200, whole)
@@ -122,15 +122,14 @@
     def throttle(self, retry_after: int) -> None:
         """Responds that a retry does no harm; retry_after: microseconds until then, 0 for no advice.
 
-        A fingerprinted request may have run all the same, unless it is throttled as it is accepted.
+        A fingerprinted request may have run all the same.
         """
-        if self.invocation is not None:
-            self._record_executed()
+        self._settle(throttled=True)
         self._respond(429, headers=retry_headers(retry_after))
 
     def terminate(self) -> None:
         """Responds without any promise."""
-        self._record_executed()
+        self._settle()
         self._respond(500)
 
     def client_left(self) -> bool:
@@ -142,9 +141,9 @@
         if self.client is not None:
             self.client.close(CloseReason.CLIENT_GONE)
 
-    def _record_executed(self) -> None:
+    def _settle(self, throttled: bool = False) -> None:
         if self.client is not None:
-            self.client.front.record_executed(self)
+            self.client.front.settle(self, throttled)
 
     def _respond(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
         client, self.client = self.client, None
@@ -290,7 +289,7 @@
         if call is not None:
             call.client = None
             self.front.calls.pop(call.id, None)
-            self.front.record_executed(call)
+            self.front.settle(call)
             if call.invocation is not None:
                 self.front.engine_host.client_left(call.invocation)
 
--- a/cartweir/node/daemon.py
+++ b/cartweir/node/daemon.py
@@ -19,6 +19,8 @@
 from ..hosting.log_stream import LogStream
 from ..hosting.process_resources import ResidentMemory, open_descriptors
 from ..interface import Appliance, Dispatch
+from ..logic.executed_requests import remembered_ids_limit
+from ..logic.id_table import PLACE_BYTES
 from ..logic.request_memory import request_memory_limit
 from .appliance_pools import ApplianceOptions, AppliancePools, Attempt
 from .client_connection import ClientCall
@@ -99,18 +101,19 @@
         )
         self._resident_memory = ResidentMemory()
         self.front = Front(
-            self.engine_host,
-            self.clock,
-            FrontLimits(
-                sockets // 2, request_memory_limit(config.memory_limit, self._resident_memory.measure())
-            ),
-            self.log_event,
-            self._ready,
+            self.engine_host, self.clock, self._front_limits(sockets // 2), self.log_event, self._ready
         )
         self.started_at = self.clock.now()
         self._memory_part = 0  # the highest part of the limit that the memory has reached
         self.ended = asyncio.Event()
 
+    def _front_limits(self, clients: int) -> FrontLimits:
+        """Divides the memory that is free at the start."""
+        memory_limit, resident = self.config.memory_limit, self._resident_memory.measure()
+        remembered_ids = remembered_ids_limit(memory_limit, resident)
+        request_bytes = request_memory_limit(memory_limit, resident + remembered_ids * PLACE_BYTES)
+        return FrontLimits(clients, request_bytes, remembered_ids)
+
     # ---- the environment of the engine host ----
     def now(self) -> int:
         """Returns the time in microseconds."""
@@ -204,6 +207,7 @@
             limit_kb=self.config.memory_limit // 1024,
             requests_kb=self.front.memory.held // 1024,
             requests_limit_kb=self.front.memory.limit // 1024,
+            remembered_ids_kb=self.front.executed.memory // 1024,
             descriptors=open_descriptors(),
             clients=len(self.front.clients),
             open_requests=len(self.engine_host.calls),
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -59,10 +59,12 @@
     Attributes:
         clients: Connections at a time.
         request_bytes: Bytes that their requests and responses may hold.
+        remembered_ids: Ids that are remembered, since their requests may have run.
     """
 
     clients: int
     request_bytes: int
+    remembered_ids: int
 
 
 class Front:
@@ -79,6 +81,7 @@
         evicted: Connections closed so far to make room.
         closed: Connections closed so far, by reason.
         memory: The bytes that requests and responses hold.
+        executed: The ids of requests that may have run.
         max_time_limit: The longest time limit of any operation.
         drain_deadline: While draining: when every open request has been answered.
     """
@@ -101,7 +104,6 @@
         self.clients: set[ClientConnection] = set()
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()
         self.calls: dict[bytes, ClientCall] = {}
-        self._executed = ExecutedRequests(clock.now())
         self.draining = False
         self.refused: Counter[int] = Counter()
         self.evicted = 0
@@ -110,6 +112,7 @@
         self.max_time_limit = max(
             (operation.time_limit for operation in engine_host.operations.values()), default=0
         )
+        self.executed = ExecutedRequests(limits.remembered_ids, self.max_time_limit, clock.now())
         self.drain_deadline = 0
         self._listener: socket.socket | None = None
         self._accepting = True  # whether the loop watches the listener
@@ -255,9 +258,9 @@
         ) and client.socket.nothing_to_read():
             client.close(CloseReason.DRAINING if client.served else CloseReason.NO_REQUEST)
 
-    def record_executed(self, call: ClientCall) -> None:
-        """Remembers the id of a request that may have run, and needs no answer any more."""
-        self._executed.record(call.id, call.operation.effect, call.invocation, self.clock.now())
+    def settle(self, call: ClientCall, throttled: bool = False) -> None:
+        """Forgets the id of a request that needs no response any more, if nothing ran."""
+        self.executed.settle(call.id, call.operation.effect, call.invocation, throttled)
 
     def free_memory(self) -> bool:
         """Has incomplete requests give way until the limit is kept; returns whether it is."""
@@ -302,14 +305,20 @@
         checked = check_request(request, path, self.operations)
         if checked.id in self.calls:
             raise HttpError(409, "a request with this id is open")
-        if self._executed.contains(checked.id, self.clock.now()):
+        if self.executed.contains(checked.id, self.clock.now()):
             raise HttpError(409, "a request with this id may have run")
         self.memory.charge_open(client, len(request.body))
-        if self.free_memory():
-            self._take(client, checked, arrived)
+        if not self.free_memory():
+            self._turn_away(client, "throttled_without_memory")
+        elif not self.executed.reserve(checked.id, checked.operation.effect, self.clock.now()):
+            self._turn_away(client, "throttled_without_id_place")
         else:
-            self.engine_host.counts["throttled_without_memory"] += 1
-            client.respond(429, b"", self._retry_headers())
+            self._take(client, checked, arrived)
+
+    def _turn_away(self, client: ClientConnection, reason: str) -> None:
+        """Responds that nothing ran, and when to retry; reason: what it is counted as."""
+        self.engine_host.counts[reason] += 1
+        client.respond(429, b"", self._retry_headers())
 
     def _take(self, client: ClientConnection, checked: CheckedRequest, arrived: int) -> None:
         """Hands a request to the decisions."""
