Ids that may have run: one client does not take the places of all

Cause: places went to whoever came first.

Evidence: test_one_client_does_not_take_the_places_of_all (drawn turns of a greedy client and one that asks now and then) failed before: 429 for the other client after 242 requests at a table of 256 places.

Why this works: a connection that has brought more than its even part of all ids within the retention time must leave a quarter of a bucket free. Others have that quarter to themselves. Not covered: a crowd that connects anew for each request cannot be told from usual clients.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -9,13 +9,14 @@
 from __future__ import annotations
 
 from ..interface import IDEMPOTENT, NEVER_RAN, Invocation
-from .id_table import PLACE_BYTES, IdTable
+from .id_table import BUCKET_PLACES, PLACE_BYTES, IdTable
 from .timing import SECOND
 
 RETENTION = 600 * SECOND  # since an id last came, besides the time for which a request may be open
 MEMORY_SHARE = 8  # one part in this many of the memory that is free at the start
 MIN_PLACES = 16_384
 MAX_PLACES = 1 << 20
+KEPT_FREE = BUCKET_PLACES // 4  # in each bucket, for clients that have not taken their even part
 
 
 def remembered_ids_limit(memory_limit: int, resident: int) -> int:
@@ -34,6 +35,26 @@
     return any(dispatch.result not in NEVER_RAN for dispatch in invocation.dispatches)
 
 
+class ClientIds:
+    """How many ids one client has brought within a span of the retention time."""
+
+    __slots__ = ("_count", "_since")
+
+    def __init__(self, now: int) -> None:
+        """Has brought none yet; now: in microseconds."""
+        self._count, self._since = 0, now
+
+    def count(self, now: int) -> int:
+        """Returns how many it has brought in the present span, and begins a new one when that is over."""
+        if now - self._since > RETENTION:
+            self._count, self._since = 0, now
+        return self._count
+
+    def add(self, change: int) -> None:
+        """Counts ids that it has brought, or that were given back."""
+        self._count = max(0, self._count + change)
+
+
 class ExecutedRequests:
     """The ids of requests that may have run."""
 
@@ -56,16 +77,41 @@
         """Returns whether a request with this id may have run; if so, its time begins anew."""
         return self._ids.renew(request_id, now)
 
-    def reserve(self, request_id: bytes, effect: str, now: int) -> bool:
-        """Remembers the id of a request before it runs; returns False if there is no place for it."""
-        return effect == IDEMPOTENT or self._ids.add(request_id, now)
+    def reserve(self, request_id: bytes, effect: str, client: ClientIds, client_count: int, now: int) -> bool:
+        """Remembers the id of a request before it runs; returns False if there is no place for it.
 
-    def settle(self, request_id: bytes, effect: str, invocation: Invocation | None, throttled: bool) -> None:
+        A client that has brought more than its even part of all ids is kept from the last places.
+
+        Args:
+            request_id: The id.
+            effect: The effect of its operation.
+            client: The ids of its client.
+            client_count: How many clients there are.
+            now: In microseconds.
+        """
+        if effect == IDEMPOTENT:
+            return True
+        sharers = client_count + 1  # another one may come
+        exceeds_part = client.count(now) * sharers > self._ids.places
+        if not self._ids.add(request_id, now, KEPT_FREE if exceeds_part else 0):
+            return False
+        client.add(1)
+        return True
+
+    def settle(
+        self,
+        request_id: bytes,
+        effect: str,
+        client: ClientIds,
+        invocation: Invocation | None,
+        throttled: bool,
+    ) -> None:
         """Forgets the id of a request that has ended, if nothing ran.
 
         Args:
             request_id: Its id.
             effect: The effect of its operation.
+            client: The ids of its client.
             invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or
                 an error broke it off, at whatever point.
             throttled: Whether it ended with a throttling reply.
@@ -75,3 +121,4 @@
         nothing_ran = throttled if invocation is None else not may_have_run(invocation)
         if nothing_ran:
             self._ids.remove(request_id)
+            client.add(-1)
--- a/cartweir/logic/id_table.py
+++ b/cartweir/logic/id_table.py
@@ -53,12 +53,18 @@
         self._seen_at[place] = self._seconds(now)
         return True
 
-    def add(self, identifier: bytes, now: int) -> bool:
-        """Remembers an id that is not remembered; returns False if there is no place for it."""
+    def add(self, identifier: bytes, now: int, keep_free: int = 0) -> bool:
+        """Remembers an id that is not remembered; returns False if there is no place for it.
+
+        Args:
+            identifier: The id.
+            now: In microseconds.
+            keep_free: Places of its bucket that are to stay free.
+        """
         seconds = self._seconds(now)
         tag, buckets = self._hash(identifier)
         first = min(buckets, key=lambda bucket: self._taken(bucket, seconds))
-        if self._taken(first, seconds) == BUCKET_PLACES:
+        if self._taken(first, seconds) + keep_free >= BUCKET_PLACES:
             return False
         seen_at = self._seen_at[first : first + BUCKET_PLACES]
         place = first + seen_at.index(min(seen_at))  # empty, or the one that has lapsed for longest
--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -17,6 +17,7 @@
 from ..hosting.tcp import NonBlockingSocket
 from ..interface import Invocation
 from ..logic.dispatch_guard import Invariant
+from ..logic.executed_requests import ClientIds
 from ..logic.request_memory import RequestMemory
 from . import http1
 from .http1 import HttpError, Request, RequestParser
@@ -76,7 +77,7 @@
     def record_refusal(self, client: ClientConnection, status: int, reason: str) -> None:
         """Counts a refused request."""
 
-    def settle(self, call: ClientCall, throttled: bool = False) -> None:
+    def settle(self, client: ClientConnection, call: ClientCall, throttled: bool = False) -> None:
         """Forgets the id of a request that needs no response any more, if nothing ran."""
 
     def set_accepting(self, accepting: bool) -> None:
@@ -143,7 +144,7 @@
 
     def _settle(self, throttled: bool = False) -> None:
         if self.client is not None:
-            self.client.front.settle(self, throttled)
+            self.client.front.settle(self.client, self, throttled)
 
     def _respond(self, status: int, body: bytes = b"", headers: Any = ()) -> None:
         client, self.client = self.client, None
@@ -165,6 +166,7 @@
         closing: Its last response is written; only the client's reading of it is awaited.
         keep_alive: Whether the client allows another request on it.
         discarded: Bytes that arrived while it was closing.
+        ids: The ids of its requests that may have run.
         unsent_before: Bytes of its response that the kernel had not taken at the last sweep.
     """
 
@@ -174,6 +176,7 @@
         "closing",
         "discarded",
         "front",
+        "ids",
         "keep_alive",
         "last_active",
         "parser",
@@ -187,6 +190,7 @@
         self.front, self.parser = front, RequestParser(REQUEST_HEADERS)
         self.call: ClientCall | None = None
         self.last_active = front.clock.now()
+        self.ids = ClientIds(self.last_active)
         self.arrived_at = NOT_YET
         self.served = self.unanswered = False
         self.closing = False
@@ -287,9 +291,9 @@
         """Drops the open request; its response is no longer wanted."""
         call, self.call = self.call, None
         if call is not None:
+            self.front.settle(self, call)
             call.client = None
             self.front.calls.pop(call.id, None)
-            self.front.settle(call)
             if call.invocation is not None:
                 self.front.engine_host.client_left(call.invocation)
 
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -258,9 +258,9 @@
         ) and client.socket.nothing_to_read():
             client.close(CloseReason.DRAINING if client.served else CloseReason.NO_REQUEST)
 
-    def settle(self, call: ClientCall, throttled: bool = False) -> None:
+    def settle(self, client: ClientConnection, call: ClientCall, throttled: bool = False) -> None:
         """Forgets the id of a request that needs no response any more, if nothing ran."""
-        self.executed.settle(call.id, call.operation.effect, call.invocation, throttled)
+        self.executed.settle(call.id, call.operation.effect, client.ids, call.invocation, throttled)
 
     def free_memory(self) -> bool:
         """Has incomplete requests give way until the limit is kept; returns whether it is."""
@@ -310,11 +310,16 @@
         self.memory.charge_open(client, len(request.body))
         if not self.free_memory():
             self._turn_away(client, "throttled_without_memory")
-        elif not self.executed.reserve(checked.id, checked.operation.effect, self.clock.now()):
+        elif not self._reserve_id(client, checked):
             self._turn_away(client, "throttled_without_id_place")
         else:
             self._take(client, checked, arrived)
 
+    def _reserve_id(self, client: ClientConnection, checked: CheckedRequest) -> bool:
+        return self.executed.reserve(
+            checked.id, checked.operation.effect, client.ids, len(self.clients), self.clock.now()
+        )
+
     def _turn_away(self, client: ClientConnection, reason: str) -> None:
         """Responds that nothing ran, and when to retry; reason: what it is counted as."""
         self.engine_host.counts[reason] += 1
--- a/tests/test_executed_requests.py
+++ b/tests/test_executed_requests.py
@@ -20,6 +20,7 @@
     MAX_PLACES,
     MIN_PLACES,
     RETENTION,
+    ClientIds,
     ExecutedRequests,
     remembered_ids_limit,
 )
@@ -49,8 +50,10 @@
 @pytest.mark.parametrize("throttled", [False, True])
 def test_an_id_is_kept_if_its_request_may_have_run_and_must_not_again(effect, results, kept, throttled):
     executed = ExecutedRequests(MIN_PLACES, LONGEST_REQUEST, 0)
-    assert executed.reserve(b"a", effect, 0)
-    executed.settle(b"a", effect, invocation(effect, *results), throttled)
+    client = ClientIds(0)
+    assert executed.reserve(b"a", effect, client, 1, 0)
+    executed.settle(b"a", effect, client, invocation(effect, *results), throttled)
+    assert client.count(0) == kept
     assert executed.contains(b"a", RETENTION + LONGEST_REQUEST) == kept
     assert not executed.contains(b"b", 0)
 
@@ -58,8 +61,9 @@
 @pytest.mark.parametrize("throttled, kept", [(False, True), (True, False)])
 def test_an_id_whose_request_ended_before_it_was_accepted_is_kept_unless_it_was_throttled(throttled, kept):
     executed = ExecutedRequests(MIN_PLACES, LONGEST_REQUEST, 0)
-    executed.reserve(b"a", SIDE_EFFECTING, 0)
-    executed.settle(b"a", SIDE_EFFECTING, None, throttled)
+    client = ClientIds(0)
+    executed.reserve(b"a", SIDE_EFFECTING, client, 1, 0)
+    executed.settle(b"a", SIDE_EFFECTING, client, None, throttled)
     assert executed.contains(b"a", 0) == kept
 
 
--- a/tests/test_ids_that_may_have_run.py
+++ b/tests/test_ids_that_may_have_run.py
@@ -13,11 +13,13 @@
 from cartweir import interface as ours
 from cartweir.logic.executed_requests import RETENTION
 from cartweir.logic.timing import SECOND
+from cartweir.node.client_connection import ClientConnection
 
 REMEMBERED = RETENTION / SECOND  # seconds since an id last came for which it is known at least
 SELDOM = 600.0  # seconds, of a client that repeats an id now and then
 PLACES = 256  # ids that may be remembered
 SETTLED = 4.0  # seconds in which every request is answered
+SERVED = 200
 CONFLICT = 409
 THROTTLED = 429
 
@@ -122,7 +124,7 @@
     async def _play(self, step) -> None:
         match step:
             case Ask(operation, script, fails):
-                self._ask(operation, script, fails)
+                self.ask(operation, script, fails)
             case Leave(index) if index < len(self.asked):
                 self.asked[index].leave()
             case Repeat(index, times, every) if index < len(self.asked):
@@ -131,7 +133,7 @@
                     await asyncio.sleep(every)
             case Crowd(size):
                 for _ in range(size):
-                    self._ask("issue", QUICK, fails=False)
+                    self.ask("issue", QUICK)
             case Pause(seconds):
                 await asyncio.sleep(seconds)
             case Reload():
@@ -139,15 +141,23 @@
             case Drain() if not self.virtual.front.draining:
                 self.virtual.front.drain()
 
-    def _ask(self, operation: str, script: Script, fails: bool) -> None:
+    def ask(
+        self,
+        operation: str,
+        script: Script,
+        fails: bool = False,
+        client: ClientConnection | None = None,
+    ) -> SentRequest:
+        """Sends a request with a new id, on a new connection unless one is given."""
         request_id = f"id-{len(self.asked)}"
         self.virtual.scripts[request_id] = script
         if fails:
             self.virtual.fails_after_sending.add(request_id)
-        self.asked.append(self.virtual.send(request_id, operation))
+        self.asked.append(self.virtual.send(request_id, operation, client))
         self.came_at[request_id] = asyncio.get_running_loop().time()
         if self.asked[-1].status == THROTTLED:
             assert not self.virtual.runs.may_have_run(request_id)
+        return self.asked[-1]
 
     def _send_again(self, first: SentRequest) -> None:
         """Sends a request again; it is refused if it may have run, and served if nothing did."""
@@ -195,3 +205,25 @@
             assert virtual.send(first.id, first.operation).status == CONFLICT
 
     play(scenario, remembered_ids=PLACES)
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.lists(st.integers(0, 2 * PLACES), min_size=1, max_size=12), st.sampled_from([0.0, 0.1, SELDOM / 4]))
+def test_one_client_does_not_take_the_places_of_all(turns, pause):
+    """Guards against a client that fills the table, so that the requests of all others are turned away.
+
+    It sends one request behind another; another client asks once after each of its turns.
+    """
+
+    async def scenario(virtual: VirtualFront) -> None:
+        played = Scenario(virtual)
+        greedy = virtual.connect()
+        for turn in turns:
+            for _ in range(turn):
+                played.ask("issue", QUICK, client=greedy)
+                await asyncio.sleep(2 * QUICK.seconds)
+            other = played.ask("issue", QUICK)
+            await asyncio.sleep(2 * QUICK.seconds + pause)
+            assert other.status == SERVED
+
+    play(scenario, remembered_ids=PLACES)
