--- a/cartweir/logic/id_table.py
+++ b/cartweir/logic/id_table.py
@@ -59,15 +59,17 @@
         Args:
             identifier: The id.
             now: In microseconds.
-            keep_free: Places of its bucket that are to stay free.
+            keep_free: Places of its bucket that are to stay free, fewer than it has.
         """
         seconds = self._seconds(now)
         tag, buckets = self._hash(identifier)
-        first = min(buckets, key=lambda bucket: self._taken(bucket, seconds))
-        if self._taken(first, seconds) + keep_free >= BUCKET_PLACES:
+        # the bucket with more empty places, or else with the id that came least recently
+        oldest_first, first = min(
+            (sorted(self._seen_at[first : first + BUCKET_PLACES]), first) for first in buckets
+        )
+        if seconds - oldest_first[keep_free] <= self.retention:
             return False
-        seen_at = self._seen_at[first : first + BUCKET_PLACES]
-        place = first + seen_at.index(min(seen_at))  # empty, or the one that has lapsed for longest
+        place = self._seen_at.index(oldest_first[0], first, first + BUCKET_PLACES)
         self._tags[place] = tag
         self._seen_at[place] = seconds
         return True
@@ -81,11 +83,6 @@
     def _seconds(self, now: int) -> int:
         return (now - self._epoch) // SECOND
 
-    def _taken(self, first: int, seconds: int) -> int:
-        """Returns how many places of a bucket hold ids that have not lapsed; first: its first place."""
-        lapsed_until = seconds - self.retention - 1
-        return sum(seen_at > lapsed_until for seen_at in self._seen_at[first : first + BUCKET_PLACES])
-
     def _find(self, identifier: bytes) -> int | None:
         """Returns the place of an id."""
         tag, buckets = self._hash(identifier)
