Test of lost log lines: lines are lost before the end of the fault, not by chance

Traced (times in each log, two runs): the old process logs its end 0.6 s after SIGTERM, within the fault, so its lost lines are never told; only a new process that starts before the 3 s are over loses lines and tells them, some 0.35 s after the old one's end. Where the start takes longer, no process loses lines and logs afterwards.

As strict, without the race: SIGHUP at 0.3 s has each agent log a line while its log fails, the fault ends as SIGTERM is sent at 2 s, and the first log of each agent (any one before) must tell the lines lost.

--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -8,7 +8,15 @@
 from cartweir.soak.plan import CallFault, ProcessPlan
 from cartweir.soak.result import Result
 from cartweir.soak.run import play
-from cartweir.soak.schedule import HOSTILE_CROWD, SECOND, STOP_AGENTS, Action, Deployment, Schedule
+from cartweir.soak.schedule import (
+    HOSTILE_CROWD,
+    RELOAD_AGENTS,
+    SECOND,
+    STOP_AGENTS,
+    Action,
+    Deployment,
+    Schedule,
+)
 
 AGENTS = 2
 ACCEPT_PAUSE_SECONDS = 0.01
@@ -35,9 +43,12 @@
 
 
 def test_a_log_tells_how_many_lines_it_lost(tmp_path):
-    play_failing(tmp_path, ("log", "ENOSPC", 1.0, 3.0), actions=[RESTART])
-    logs = [path.read_text() for path in tmp_path.glob("agent*/log-*.txt")]
-    assert any("log_lost lines=" in log for log in logs), logs
+    """Each agent logs a line while its log fails, and ends after that."""
+    reload = Action(0.3, RELOAD_AGENTS, range(AGENTS))
+    play_failing(tmp_path, ("log", "ENOSPC", 1.0, RESTART.at), actions=[reload, RESTART])
+    logs = [path.read_text() for path in tmp_path.glob("agent*/log-0.txt")]
+    assert len(logs) == AGENTS
+    assert all("log_lost lines=" in log for log in logs), logs
 
 
 @pytest.mark.parametrize("error", ["ENOBUFS", "ENOMEM", "EINTR", "SHORT"])
