Requests: two ids or fingerprints in one head are refused, trailers are dropped

Cause: _MessageParser.on_header joined the values of each repeated header, of head and trailer, and a comma may be a part of an id.

Why this works: the request parser is told which headers must stand once, and refuses the second with 400 before the request is complete; a field of a request's trailer changes nothing of the head.

--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -21,7 +21,7 @@
 from ..logic.request_memory import RequestMemory
 from . import http1
 from .http1 import HttpError, Request, RequestParser
-from .protocol import REQUEST_HEADERS
+from .protocol import REQUEST_HEADERS, UNCHANGED_HEADERS
 from .request_check import CheckedRequest
 
 NOT_YET = 1 << 62  # later than any time
@@ -187,7 +187,7 @@
     )
 
     def __init__(self, front: ClientOwner, sock: socket.socket) -> None:
-        self.front, self.parser = front, RequestParser(REQUEST_HEADERS)
+        self.front, self.parser = front, RequestParser(REQUEST_HEADERS, UNCHANGED_HEADERS)
         self.call: ClientCall | None = None
         self.last_active = front.clock.now()
         self.ids = ClientIds(self.last_active)
--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -99,7 +99,7 @@
     parser_type: type = HttpRequestParser
     max_body_bytes: int | None = MAX_BODY_BYTES  # None: the caller limits what it keeps
     max_small_chunks: int | None = None
-    kept_headers: frozenset[bytes] | None = None  # lower-case names; None: all are kept
+    single_headers: frozenset[bytes] = frozenset()  # lower-case names of headers that must not be repeated
 
     def __init__(self) -> None:
         self._parser = self.parser_type(self)
@@ -147,12 +147,18 @@
         if self._header_count > MAX_HEADERS:
             self._reject(431, f"more than {MAX_HEADERS} headers")
         name = name.lower()
-        if self.kept_headers is not None and name not in self.kept_headers:
+        if self._is_dropped(name):
             return
         self._kept_size += len(name) + len(value)
         old = self._headers.get(name)
+        if old is not None and name in self.single_headers:
+            self._reject(400, f"more than one {name.decode('latin-1')}")
         self._headers[name] = value if old is None else old + b"," + value
 
+    def _is_dropped(self, name: bytes) -> bool:
+        """Returns whether the present header is not held; name: in lower case."""
+        return False
+
     def on_headers_complete(self) -> None:
         """Called by the underlying parser at the end of a head."""
         self._in_head, self._head_size = False, 0
@@ -220,15 +226,20 @@
 
     max_small_chunks = MAX_SMALL_CHUNKS
 
-    def __init__(self, kept_headers: frozenset[bytes] | None = None) -> None:
+    def __init__(
+        self,
+        kept_headers: frozenset[bytes] | None = None,
+        single_headers: frozenset[bytes] = frozenset(),
+    ) -> None:
         """Parses nothing yet.
 
         Args:
             kept_headers: Lower-case names of the headers that a request holds, `FRAMING_HEADERS` among them;
                 None: all. A short header takes many times its size.
+            single_headers: Lower-case names of headers of which a request must not have two.
         """
         super().__init__()
-        self.kept_headers = kept_headers
+        self.kept_headers, self.single_headers = kept_headers, single_headers
         self._complete: Request | None = None
 
     def on_message_begin(self) -> None:
@@ -241,6 +252,10 @@
             self._reject(400, "several requests at once on a connection")
         super().on_message_begin()
 
+    def _is_dropped(self, name: bytes) -> bool:
+        """Returns whether the agent does not read the present header; a trailer adds nothing to a head."""
+        return not self._in_head or (self.kept_headers is not None and name not in self.kept_headers)
+
     def feed(self, data: bytes) -> Request | None:
         """Returns the request that these bytes complete, if they do.
 
@@ -340,6 +355,10 @@
             self.has_extra_data = True
         super().on_message_begin()
 
+    def _is_dropped(self, name: bytes) -> bool:
+        """Returns whether the present header is not held; name: in lower case."""
+        return False
+
     def on_headers_complete(self) -> None:
         """Called by the underlying parser at the end of a head."""
         super().on_headers_complete()
--- a/cartweir/node/protocol.py
+++ b/cartweir/node/protocol.py
@@ -38,6 +38,8 @@
     )
 )
 
+UNCHANGED_HEADERS = frozenset((REQUEST_ID_HEADER, FINGERPRINT_HEADER))  # are passed on as they came
+
 READY_PATH = b"/-/ready"
 HEALTH_PATH = b"/-/healthy"
 
--- a/tests/virtual_front.py
+++ b/tests/virtual_front.py
@@ -133,12 +133,13 @@
         front: The front.
         runs: What the appliances were sent.
         scripts: How appliances end the attempts of a request, by its id.
+        heads: The headers that were passed on unchanged, by that id.
         fails_after_sending: Ids for which the agent has an internal error just after an attempt is sent.
     """
 
     def __init__(self, **limits: int) -> None:
         self.loop = asyncio.get_running_loop()
-        self.runs, self.scripts = Runs(), {}
+        self.runs, self.scripts, self.heads = Runs(), {}, {}
         self.fails_after_sending: set[str] = set()
         self.alarms = AlarmScheduler(TimerAdapter(self.loop), self.now, self._alarm)
         self.engine_host = EngineHost(self, parse_settings(SETTINGS), 7)
@@ -186,6 +187,7 @@
     def start(self, dispatch: Dispatch, call: ClientCall) -> VirtualAttempt:
         request_id = call.id.decode()
         self.runs.attempts[request_id][dispatch.invocation.id].append(dispatch)
+        self.heads[request_id] = dict(call.head[2])
         if request_id in self.fails_after_sending:
             raise InjectedError
         script = self.scripts[request_id]
