--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -1,5 +1,7 @@
-"""Parts of agents on several cores killed, and now and then stopped, over and over under load, while builds are offered;
-the five rules then decided from the sockets. Long, so outside CI; the stand-ins are simulated.
+"""Kills parts of agents on several cores over and over, under load, while builds are offered.
+
+Now and then one is stopped for a while in place of that. The five rules are then judged from the sockets. It
+takes long, so it is outside CI; the stand-ins are simulated.
 
     python benchmarks/kills.py [--kills 200] [--every 0.25] [--agents 2] [--cores 3] [--seed 1] [--keep DIR]
 """
@@ -12,12 +14,19 @@
 import sys
 import tempfile
 from collections import Counter
+from functools import partial
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
-from cartweir.standin.appliance import Quality  # noqa: E402
-from cartweir.standin.day import Day, Step  # noqa: E402
+from cartweir.standin.appliance import Quality
+from cartweir.standin.day import Day, Step
+
+STOPPED_SHARE = 0.15  # of the strikes, that stop a process for a while in place of killing it
+STOP_SECONDS = 0.2, 2.0  # shortest and longest
+BAD_BUILD = 3  # fails a part of its requests
+BAD_BUILD_ERRORS = 0.4
+FIRST_OFFERED = 2
 
 
 class Kills(Day):
@@ -26,12 +35,13 @@
     every, kills = 0.25, 200
 
     def script(self) -> list[Step]:
+        """Returns the strikes and the offers of builds."""
         chance, steps = random.Random(self.seed), []
         self.struck: Counter = Counter()
 
         def strike() -> None:
             me, part = chance.randrange(self.agents), chance.randint(0, self.cores)
-            stopped = chance.uniform(0.2, 2.0) if chance.random() < 0.15 else 0.0
+            stopped = chance.uniform(*STOP_SECONDS) if chance.random() < STOPPED_SHARE else 0.0
             self.struck["stopped" if stopped else "deciding" if part == 0 else "carrying"] += 1
             self._strike(me, part, stopped)
 
@@ -41,18 +51,14 @@
 
         for number in range(self.kills):
             steps.append(Step((2 + number * self.every) / self.seconds, "", strike))
-        for build, at in enumerate((0.05, 0.35, 0.65), 2):
-            steps.append(
-                Step(
-                    at,
-                    f"build {build} is offered",
-                    lambda build=build: offer(build, Quality(errors=0.4) if build == 3 else Quality()),
-                )
-            )
+        for build, at in enumerate((0.05, 0.35, 0.65), FIRST_OFFERED):
+            quality = Quality(errors=BAD_BUILD_ERRORS) if build == BAD_BUILD else Quality()
+            steps.append(Step(at, f"build {build} is offered", partial(offer, build, quality)))
         return steps
 
 
 async def main(arguments: argparse.Namespace) -> int:
+    """Plays the day; returns 1 if a rule was broken, else 0."""
     with tempfile.TemporaryDirectory() as scratch:
         Kills.every, Kills.kills = arguments.every, arguments.kills
         seconds = 5 + arguments.kills * arguments.every
--- a/cartweir/standin/receivers.py
+++ b/cartweir/standin/receivers.py
@@ -1,6 +1,8 @@
-"""Stand-ins of what controllers write to: the machines' host and a steps' target, in one process. Each effect that is taken,
-and each that is refused, is a line of one file, synced before it is answered: the file is the receivers' own store, from
-which they come back, and what a verdict is taken from."""
+"""Stand-ins of what controllers write to: the machines' host and the target of steps, in one process.
+
+Each effect that is taken, and each that is refused, is a line of one file, synced before it is answered. The
+file is the receivers' own store, from which they restart, and a test judges by it.
+"""
 
 from __future__ import annotations
 
@@ -29,8 +31,16 @@
 
 
 class Receivers(Service):
-    """fenced=False is a fault put in on purpose: it takes whatever comes. boot: microseconds until machines run.
-    fleet: whose machines are meant, or none: want(machines by build), and runs(build), whether all wanted of it do."""
+    """Serves the calls of controllers.
+
+    Attributes:
+        boot: Microseconds until wanted machines run.
+        fenced: Whether calls of earlier owners are refused; False is a fault put in on purpose.
+        fleet: Whose machines are meant, or None. Has `want(machines by build)`, and `runs(build)`: whether
+            all machines wanted of a build run.
+        target: What the steps act on.
+        fence: Refuses the calls of earlier owners.
+    """
 
     def __init__(self, path: Path, boot: int = 200_000, fenced: bool = True, fleet: Any = None) -> None:
         super().__init__()
--- a/cartweir/standin/registry.py
+++ b/cartweir/standin/registry.py
@@ -1,5 +1,8 @@
-"""A stand-in registry: a list of appliances that is fetched or watched; it can be late, fail, be gone, fall silent, and lose
-its list or go back to an older one. It defends itself: lists are told at a stated rate, changes to whom they suffice."""
+"""A stand-in registry: a list of appliances that is fetched or watched.
+
+It can be late, fail, be gone, fall silent, and lose its list or go back to an older one. It limits its load:
+whole lists are sent at a stated rate, and changes alone to those for whom they suffice.
+"""
 
 from __future__ import annotations
 
@@ -17,10 +20,17 @@
 
 PUT = "/cartweir.standin.Registry/Put"  # how appliances of other processes enter themselves
 CHANGES = 512  # that are remembered
+AGE_UNIT = 1_000  # microseconds: the ages in a list are told to this precision
 
 
 class Registry(Service):
-    """admission: of lists, a second and at once; none: all are told. counts: what was told to how many."""
+    """Serves the calls of agents and appliances.
+
+    Attributes:
+        late: Microseconds between a change and its announcement.
+        admission: Limits the whole lists that are sent; None: all are.
+        counts: What was sent so far, by kind.
+    """
 
     def __init__(
         self, late: int = 0, tap: Tap | None = None, admission: AdmissionControl | None = None
@@ -83,9 +93,9 @@
                 watch.send(listing.SerializeToString())
 
     def _whole(self) -> bytes:
-        """Made once for all who ask in the same moment: ages are told to the millisecond, and that is how long it holds."""
+        """Returns the whole list, made once for all who ask in the same moment."""
         now = monotonic()
-        if self._told[0] != self.version or now - self._told[1] > 1_000:
+        if self._told[0] != self.version or now - self._told[1] > AGE_UNIT:
             entries = [self._aged(entry) for entry in self.entries.values()]
             listing = pb.Listing(
                 incarnation=self.incarnation, version=self.version, whole=True, entries=entries
@@ -152,8 +162,12 @@
             self._watches.add(request)
 
     def begin_anew(self, part: float = 0.0, clock: int = 0) -> None:
-        """As after a loss: another life, its versions from the start, with the first `part` of its list, by a clock that is off
-        by so many microseconds. Watches break."""
+        """Begins another incarnation, as after a loss: its versions start anew. Watches break.
+
+        Args:
+            part: The part of its list that it keeps.
+            clock: By how many microseconds its clock is off.
+        """
         kept = list(self.entries)[: round(part * len(self.entries))]
         self.entries = {name: self.entries[name] for name in kept}
         self.incarnation, self.version, self.began_here = time.time_ns() // 1000 + clock, 0, True
@@ -162,7 +176,7 @@
         self._break("the registry has begun anew")
 
     def go_back(self, to: tuple[int, int, dict[str, pb.Entry]]) -> None:
-        """To what state() gave earlier, as a copy that is put back. Watches break."""
+        """Goes back to what `state` gave earlier, as a copy that is put back. Watches break."""
         self.incarnation, self.version, entries = to
         self.began_here = False
         self.entries = dict(entries)
@@ -171,6 +185,7 @@
         self._break("the registry went back")
 
     def state(self) -> tuple[int, int, dict[str, pb.Entry]]:
+        """Returns the incarnation, the version and the entries."""
         return self.incarnation, self.version, dict(self.entries)
 
     def _break(self, why: str) -> None:
@@ -178,7 +193,7 @@
             link.close(why)
 
     def fail(self, failing: bool) -> None:
-        """Watches that stand are broken."""
+        """Begins or ends to fail; open watches break."""
         self.failing = failing
         if failing:
             self._break("the registry fails")
