Ids that may have run: a client's ids are counted by eighths of the retention time

Why this works: ids are counted by eighths of the retention time, for as long as they keep their places and at most an eighth more.

Also: settle() is nothing_ran() and release(), with fewer arguments.

--- a/benchmarks/remembered_ids.py
+++ b/benchmarks/remembered_ids.py
@@ -23,7 +23,12 @@
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
 from cartweir.interface import SIDE_EFFECTING, Appliance, Dispatch, Invocation, Operation
-from cartweir.logic.executed_requests import ClientIds, ExecutedRequests, remembered_ids_limit
+from cartweir.logic.executed_requests import (
+    ClientIds,
+    ExecutedRequests,
+    nothing_ran,
+    remembered_ids_limit,
+)
 
 SECOND = 1_000_000  # microseconds
 MEGABYTE = 1_000_000  # bytes
@@ -68,7 +73,7 @@
     def __init__(self, memory_limit: int) -> None:
         self.executed = ExecutedRequests(remembered_ids_limit(memory_limit, RESIDENT), LONGEST_REQUEST, 0)
         self.refused = 0
-        self._clients = [ClientIds(0) for _ in range(CLIENTS)]
+        self._clients = [ClientIds() for _ in range(CLIENTS)]
         self._random = random.Random(1)
         self._invocation = Invocation(1, Operation("issue", SIDE_EFFECTING), 0, LONGEST_REQUEST)
         self._invocation.dispatches = [Dispatch(Appliance("a"))]
@@ -80,7 +85,8 @@
         if known or not self.executed.reserve(request_id, SIDE_EFFECTING, client, CLIENTS, now):
             self.refused += 1
             return
-        self.executed.settle(request_id, SIDE_EFFECTING, client, self._invocation, False)
+        if nothing_ran(self._invocation, throttled=False):
+            self.executed.release(request_id, SIDE_EFFECTING, client, now)
 
 
 def measure(rate: int, seconds: int, memory_mb: int) -> str:
--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -16,6 +16,8 @@
 MEMORY_SHARE = 6  # one part in this many of the memory that is free at the start
 MIN_PLACES = 16_384
 MAX_PLACES = 1 << 20
+RETENTION_PARTS = 8
+PART_TIME = RETENTION // RETENTION_PARTS
 KEPT_FREE = BUCKET_PLACES // 4  # in each bucket, for clients that have not taken their even part
 
 
@@ -30,32 +32,38 @@
     return max(MIN_PLACES, min(MAX_PLACES, places))
 
 
-def may_have_run(invocation: Invocation) -> bool:
-    """Returns whether an appliance may have run an invocation, or may yet."""
-    return any(dispatch.result not in NEVER_RAN for dispatch in invocation.dispatches)
+def nothing_ran(invocation: Invocation | None, throttled: bool) -> bool:
+    """Returns whether no appliance has run a request that has ended, nor may yet.
+
+    Args:
+        invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or an
+            error broke it off, at whatever point.
+        throttled: Whether it ended with a throttling reply.
+    """
+    if invocation is None:
+        return throttled
+    return all(dispatch.result in NEVER_RAN for dispatch in invocation.dispatches)
 
 
 class ClientIds:
-    """How many ids one client has brought, in the present span of the retention time and the one before."""
+    """How many ids one client has brought within the retention time, counted by parts of that time."""
 
-    __slots__ = ("_count", "_count_before", "_span")
+    __slots__ = ("_counts",)
 
-    def __init__(self, now: int) -> None:
-        """Has brought none yet; now: in microseconds."""
-        self._count = self._count_before = 0
-        self._span = now // RETENTION
+    def __init__(self) -> None:
+        self._counts: dict[int, int] = {}  # by the number of the part
 
     def count(self, now: int) -> int:
-        """Returns how many it has brought; now: in microseconds."""
-        span = now // RETENTION
-        if span != self._span:
-            self._count_before = self._count if span == self._span + 1 else 0
-            self._count, self._span = 0, span
-        return self._count_before + self._count
-
-    def add(self, change: int) -> None:
+        """Returns how many it has brought since a part before the retention time; now: in microseconds."""
+        first = now // PART_TIME - RETENTION_PARTS
+        for part in [part for part in self._counts if part < first]:
+            del self._counts[part]
+        return sum(self._counts.values())
+
+    def add(self, change: int, now: int) -> None:
         """Counts ids that it has brought, or that were given back."""
-        self._count = max(0, self._count + change)
+        part = now // PART_TIME
+        self._counts[part] = self._counts.get(part, 0) + change
 
 
 class ExecutedRequests:
@@ -98,30 +106,18 @@
         exceeds_part = client.count(now) * sharers > self._ids.places
         if not self._ids.add(request_id, now, KEPT_FREE if exceeds_part else 0):
             return False
-        client.add(1)
+        client.add(1, now)
         return True
 
-    def settle(
-        self,
-        request_id: bytes,
-        effect: str,
-        client: ClientIds,
-        invocation: Invocation | None,
-        throttled: bool,
-    ) -> None:
-        """Forgets the id of a request that has ended, if nothing ran.
+    def release(self, request_id: bytes, effect: str, client: ClientIds, now: int) -> None:
+        """Forgets the id of a request of which nothing ran.
 
         Args:
-            request_id: Its id.
+            request_id: The id.
             effect: The effect of its operation.
             client: The ids of its client.
-            invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or
-                an error broke it off, at whatever point.
-            throttled: Whether it ended with a throttling reply.
+            now: In microseconds.
         """
-        if effect == IDEMPOTENT:
-            return
-        nothing_ran = throttled if invocation is None else not may_have_run(invocation)
-        if nothing_ran:
+        if effect != IDEMPOTENT:
             self._ids.remove(request_id)
-            client.add(-1)
+            client.add(-1, now)
--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -190,7 +190,7 @@
         self.front, self.parser = front, RequestParser(REQUEST_HEADERS, UNCHANGED_HEADERS)
         self.call: ClientCall | None = None
         self.last_active = front.clock.now()
-        self.ids = ClientIds(self.last_active)
+        self.ids = ClientIds()
         self.arrived_at = NOT_YET
         self.served = self.unanswered = False
         self.closing = False
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -18,7 +18,7 @@
 from ..hosting.receive_queue import queued_data
 from ..hosting.tcp import split_address
 from ..interface import Operation
-from ..logic.executed_requests import ExecutedRequests
+from ..logic.executed_requests import ExecutedRequests, nothing_ran
 from ..logic.overload import retry_advice
 from ..logic.request_memory import RequestMemory
 from . import protocol
@@ -260,7 +260,8 @@
 
     def settle(self, client: ClientConnection, call: ClientCall, throttled: bool = False) -> None:
         """Forgets the id of a request that needs no response any more, if nothing ran."""
-        self.executed.settle(call.id, call.operation.effect, client.ids, call.invocation, throttled)
+        if nothing_ran(call.invocation, throttled):
+            self.executed.release(call.id, call.operation.effect, client.ids, self.clock.now())
 
     def free_memory(self) -> bool:
         """Has incomplete requests give way until the limit is kept; returns whether it is."""
--- a/tests/test_executed_requests.py
+++ b/tests/test_executed_requests.py
@@ -19,9 +19,11 @@
 from cartweir.logic.executed_requests import (
     MAX_PLACES,
     MIN_PLACES,
+    PART_TIME,
     RETENTION,
     ClientIds,
     ExecutedRequests,
+    nothing_ran,
     remembered_ids_limit,
 )
 from cartweir.logic.id_table import PLACE_BYTES
@@ -50,9 +52,10 @@
 @pytest.mark.parametrize("throttled", [False, True])
 def test_an_id_is_kept_if_its_request_may_have_run_and_must_not_again(effect, results, kept, throttled):
     executed = ExecutedRequests(MIN_PLACES, LONGEST_REQUEST, 0)
-    client = ClientIds(0)
+    client = ClientIds()
     assert executed.reserve(b"a", effect, client, 1, 0)
-    executed.settle(b"a", effect, client, invocation(effect, *results), throttled)
+    if nothing_ran(invocation(effect, *results), throttled):
+        executed.release(b"a", effect, client, 0)
     assert client.count(0) == kept
     assert executed.contains(b"a", RETENTION + LONGEST_REQUEST) == kept
     assert not executed.contains(b"b", 0)
@@ -61,12 +64,20 @@
 @pytest.mark.parametrize("throttled, kept", [(False, True), (True, False)])
 def test_an_id_whose_request_ended_before_it_was_accepted_is_kept_unless_it_was_throttled(throttled, kept):
     executed = ExecutedRequests(MIN_PLACES, LONGEST_REQUEST, 0)
-    client = ClientIds(0)
+    client = ClientIds()
     executed.reserve(b"a", SIDE_EFFECTING, client, 1, 0)
-    executed.settle(b"a", SIDE_EFFECTING, client, None, throttled)
+    if nothing_ran(None, throttled):
+        executed.release(b"a", SIDE_EFFECTING, client, 0)
     assert executed.contains(b"a", 0) == kept
 
 
+def test_a_client_is_charged_for_its_ids_as_long_as_they_keep_their_places():
+    client, came_at = ClientIds(), RETENTION - 1
+    client.add(3, came_at)
+    assert client.count(came_at) == client.count(came_at + RETENTION) == 3
+    assert client.count(came_at + RETENTION + 2 * PART_TIME) == 0
+
+
 @pytest.mark.parametrize(
     "memory_limit, resident, places",
     [
