Ids that may have run: at most 262,144, so that a node takes 2 MB for them

Cause: the table's size went by the memory that is free alone.

At 210 a second an id is known for at least 20 min in place of 80.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -15,7 +15,7 @@
 RETENTION = 300 * SECOND  # since an id last came, besides the time for which a request may be open
 MEMORY_SHARE = 6  # one part in this many of the memory that is free at the start
 MIN_PLACES = 16_384
-MAX_PLACES = 1 << 20
+MAX_PLACES = 1 << 18
 RETENTION_PARTS = 8
 PART_TIME = RETENTION // RETENTION_PARTS
 KEPT_FREE = BUCKET_PLACES // 4  # in each bucket, for clients that have not taken their even part
