--- a/cartweir/logic/id_table.py
+++ b/cartweir/logic/id_table.py
@@ -3,7 +3,7 @@
 It is a set-associative hash table: an id may stand in one of two buckets of a few places each, so that the
 table is nearly full before an id finds both buckets taken. A place holds a part of the id's hash, and when
 the id last came. Nothing is ever moved, allocated or swept: an id that has lapsed stays known until its place
-is used again.
+is used again. The hash is salted anew in each process, so that no client can choose ids that collide.
 """
 
 from __future__ import annotations
--- a/cartweir/node/http1.py
+++ b/cartweir/node/http1.py
@@ -355,10 +355,6 @@
             self.has_extra_data = True
         super().on_message_begin()
 
-    def _is_dropped(self, name: bytes) -> bool:
-        """Returns whether the present header is not held; name: in lower case."""
-        return False
-
     def on_headers_complete(self) -> None:
         """Called by the underlying parser at the end of a head."""
         super().on_headers_complete()
