--- a/cartweir/wire/connection.py
+++ b/cartweir/wire/connection.py
@@ -153,7 +153,7 @@
         return len(data)  # the rest is of no use
 
     def _turn_is_over(self, began: int) -> bool:
-        """Returns whether slices without a call give way to callbacks and timers; began: when the turn did."""
+        """Returns whether slices without a call give way to callbacks and timers; began: when they did."""
         return monotonic() - began > MAX_TURN_TIME or callbacks_wait(own=self._flush_scheduled)
 
     def _has_ended(self) -> bool:
--- a/cartweir/wire/input_pacer.py
+++ b/cartweir/wire/input_pacer.py
@@ -1,9 +1,9 @@
 """Shares the time of the event loop among connections that have much input to handle.
 
 A read of 64 KiB may hold thousands of frames. Handled in one turn of the loop, they would hold up all other
-connections. So input is cut into slices that take about the same time. Between two of them, a connection lets
-others have their turn if any of them waits, or if its slices bring no calls and callbacks wait. Of slices that
-are left over, the loop handles one in each turn.
+connections. So input is cut into slices that take about the same time. Between two of them, a connection
+lets others have their turn if any of them waits, or if its slices bring no calls and callbacks wait. Of
+slices that are left over, the loop handles one in each turn.
 """
 
 from __future__ import annotations
