Ids that may have run: 3 min and a twelfth, so that a node at 32 MB peaks as before

Cause: at that limit the table took 833,280 bytes where the sets before took 553,252 at most.

Change: ids get a twelfth of the free memory (a sixth before) and keep their places for 3 min since they last came (5 before); where memory is not short, lapsed ids stay known as before.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -12,8 +12,8 @@
 from .id_table import BUCKET_PLACES, PLACE_BYTES, IdTable
 from .timing import SECOND
 
-RETENTION = 300 * SECOND  # since an id last came, besides the time for which a request may be open
-MEMORY_SHARE = 6  # one part in this many of the memory that is free at the start
+RETENTION = 180 * SECOND  # since an id last came, besides the time for which a request may be open
+MEMORY_SHARE = 12  # one part in this many of the memory that is free at the start
 MIN_PLACES = 16_384
 MAX_PLACES = 1 << 18
 RETENTION_PARTS = 8
