Ids that may have run: a request that waited for a connection in vain is served again

What callers saw: a client left while its side-effecting request waited for a connection to an appliance. Sent again under the same id it was answered 409, for at least 3 min, though no appliance had read it.

Cause: when a client leaves, its dispatch has no result yet, and `nothing_ran` took each such dispatch for one that may have run. Whether anything of it had been sent was known to the connection pool alone.

Change: a dispatch tells that it waits for a connection. Once its request has ended the pool asks the engine's host before it sends, and is told no, so that nothing of it runs later. Its id is given back.

--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from ..interface import IDEMPOTENT, NEVER_RAN, Invocation
+from ..interface import IDEMPOTENT, Invocation
 from .id_table import BUCKET_PLACES, PLACE_BYTES, IdTable
 from .timing import SECOND
 
@@ -35,6 +35,8 @@
 def nothing_ran(invocation: Invocation | None, throttled: bool) -> bool:
     """Returns whether no appliance has run a request that has ended, nor may yet.
 
+    A dispatch that waits for a connection is not sent any more once its request has ended.
+
     Args:
         invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or an
             error broke it off, at whatever point.
@@ -42,7 +44,7 @@
     """
     if invocation is None:
         return throttled
-    return all(dispatch.result in NEVER_RAN for dispatch in invocation.dispatches)
+    return all(dispatch.never_ran for dispatch in invocation.dispatches)
 
 
 class ClientIds:
--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -452,6 +452,16 @@
         self.dispatch, self.call = dispatch, call
         self.timeout = dispatch.timeout or max(1, dispatch.invocation.deadline - self.began)
 
+    def wait_in(self, pool: AppliancePool) -> None:
+        """Starts the wait for a connection."""
+        self.dispatch.waits_for_connection = True
+        super().wait_in(pool)
+
+    def send_on(self, connection: ApplianceConnection) -> None:
+        """Writes it on a connection, and starts the timer for its response."""
+        self.dispatch.waits_for_connection = False
+        super().send_on(connection)
+
     def encode(self, left: int) -> bytes:
         """Returns the client's request with the time that is left."""
         method, target, head = self.call.head
--- a/tests/test_ids_between_processes.py
+++ b/tests/test_ids_between_processes.py
@@ -6,10 +6,12 @@
 import signal
 
 import pytest
-from node_harness import Appliance, request_bytes
+from node_harness import Appliance, request_bytes, running_node
 from node_process import node_process
 from test_calls import sockets
 
+from cartweir.node import appliance_pools
+
 CLIENTS, REQUESTS_EACH = 40, 260  # 10,400 ids, more than nodes once remembered
 
 
@@ -55,3 +57,30 @@
         await logged(node, "draining")
         assert (await kept.exchange(again))[0] == 409
         assert [headers["x-request-id"] for _, headers, _ in appliance.requests] == ["once", "other"]
+
+
+@sockets
+@pytest.mark.parametrize("operation", ["issue", "order"])
+async def test_a_request_that_was_never_sent_is_served_when_it_comes_again(operation, monkeypatch):
+    """Guards against an id that stayed refused though its request had waited for a connection in vain."""
+    appliance, never_made = Appliance(), []
+
+    class UnansweredConnection:
+        """A connection that is being made to a machine that says nothing."""
+
+        def __init__(self, *arguments) -> None:
+            never_made.append(arguments)
+
+    async with running_node(appliance) as node:
+        with monkeypatch.context() as patch:
+            patch.setattr(appliance_pools, "PendingConnection", UnansweredConnection)
+            first = await node.client()
+            first.writer.write(request_bytes("again", operation))
+            while not never_made:
+                await asyncio.sleep(0.001)
+            first.writer.close()
+            await node.wait_for_event("left")
+        pool = node.daemon.appliance_pools.pool(next(iter(node.daemon.engine_host.engine.agent.fleet)))
+        pool.opening.clear()
+        assert (await (await node.client()).exchange(request_bytes("again", operation)))[0] == 200
+        assert [headers["x-request-id"] for _, headers, _ in appliance.requests] == ["again"]
--- a/tests/test_ids_that_may_have_run.py
+++ b/tests/test_ids_that_may_have_run.py
@@ -78,7 +78,12 @@
     ours.UNCONNECTED,
     None,
 ]
-SCRIPTS = st.builds(Script, st.sampled_from(RESULTS), st.sampled_from([0.001, 0.02, 0.4, 2.5]))
+SCRIPTS = st.builds(
+    Script,
+    st.sampled_from(RESULTS),
+    st.sampled_from([0.001, 0.02, 0.4, 2.5]),
+    st.sampled_from([0.0, 0.0, 0.02, 5.0]),
+)
 INDEXES = st.integers(0, 5)
 SHORT = st.floats(0.0, 3.0)
 LONG = st.floats(0.4 * REMEMBERED, REMEMBERED)
@@ -177,6 +182,7 @@
 NO_ANSWER = Script(None, 0)
 SLOW = Script(ours.SUCCEEDED, 2.5)
 QUICK = Script(ours.SUCCEEDED, 0.02)
+UNSENT = Script(ours.SUCCEEDED, 0.02, connecting=5.0)
 
 
 @settings(max_examples=120, deadline=None)
@@ -187,8 +193,13 @@
 @example([Ask("order", SLOW), Pause(SETTLED), Repeat(0, 1, 0.0)])  # its client was told to retry
 @example([Ask("issue", QUICK), Pause(1.0), Crowd(2 * PLACES), Repeat(0, 1, 0.0)])  # issue 55, step 2
 @example([Ask("issue", NO_ANSWER, fails=True), Repeat(0, 1, 0.0)])
+@example([Ask("issue", UNSENT), Leave(0), Repeat(0, 1, 0.0)])
+@example([Ask("order", UNSENT), Pause(SETTLED), Repeat(0, 1, 0.0)])
 def test_an_id_that_keeps_coming_is_not_run_again(steps):
-    """Guards against ids forgotten with time, for new ones, once throttled, or for an internal error."""
+    """Guards against ids forgotten with time, for new ones, once throttled, or for an internal error.
+
+    It guards against ids, too, that are kept though nothing of their requests was sent.
+    """
     play(lambda virtual: Scenario(virtual).play(steps), remembered_ids=PLACES)
 
 
--- a/tests/virtual_front.py
+++ b/tests/virtual_front.py
@@ -69,10 +69,12 @@
     Attributes:
         result: One of the constants in `interface`; None: nothing ever comes back.
         seconds: For how long it takes.
+        connecting: For how long the attempt waits for a connection before that.
     """
 
     result: str | None
     seconds: float
+    connecting: float = 0.0
 
 
 @dataclass
@@ -118,8 +120,36 @@
 
 
 class VirtualAttempt:
-    def __init__(self, timer: asyncio.TimerHandle | None) -> None:
-        self._timer = timer
+    """One attempt, which waits for a connection and then for the appliance, as its script says."""
+
+    def __init__(self, front: VirtualFront, dispatch: Dispatch, request_id: str) -> None:
+        self._front, self._dispatch, self._request_id = front, dispatch, request_id
+        self._script = front.scripts[request_id]
+        self._timer: asyncio.TimerHandle | None = None
+        if self._script.connecting:
+            dispatch.waits_for_connection = True
+            self._timer = front.loop.call_later(self._script.connecting, self._connected)
+        else:
+            self._send()
+
+    def _connected(self) -> None:
+        if not self._front.engine_host.may_send(self._dispatch):
+            self._front.engine_host.dispatch_ended(self._dispatch, ours.OBSOLETE)
+            return
+        self._dispatch.waits_for_connection = False
+        self._send()
+
+    def _send(self) -> None:
+        self._front.runs.attempts[self._request_id][self._dispatch.invocation.id].append(self._dispatch)
+        if self._request_id in self._front.fails_after_sending:
+            raise InjectedError
+        if self._script.result is not None:
+            self._timer = self._front.loop.call_later(self._script.seconds, self._ended)
+
+    def _ended(self) -> None:
+        result = self._script.result
+        answer = ((), [b"an answer"], ()) if result == ours.SUCCEEDED else None
+        self._front.engine_host.dispatch_ended(self._dispatch, result, None, answer)
 
     def abandon(self, late: bool) -> None:
         if self._timer is not None:
@@ -192,18 +222,8 @@
 
     def start(self, dispatch: Dispatch, call: ClientCall) -> VirtualAttempt:
         request_id = call.id.decode()
-        self.runs.attempts[request_id][dispatch.invocation.id].append(dispatch)
         self.heads[request_id] = dict(call.head[2])
-        if request_id in self.fails_after_sending:
-            raise InjectedError
-        script = self.scripts[request_id]
-        if script.result is None:
-            return VirtualAttempt(None)
-        return VirtualAttempt(self.loop.call_later(script.seconds, self._ended, dispatch, script.result))
-
-    def _ended(self, dispatch: Dispatch, result: str) -> None:
-        answer = ((), [b"an answer"], ()) if result == ours.SUCCEEDED else None
-        self.engine_host.dispatch_ended(dispatch, result, None, answer)
+        return VirtualAttempt(self, dispatch, request_id)
 
     def probe(self, appliance: Appliance) -> None:
         raise AssertionError("no probes are allowed by these settings")
