Decisions: a request of which nothing was sent is told to retry, not that it may have run

What callers saw: 500 for a side-effecting request whose time ran out while it waited for a connection to an appliance that says nothing. No appliance had read it, so 429 with Retry-After is due.

Evidence: drawn time limits, waits and results fail without the change (500 for 429), and pass with it.

--- a/cartweir/logic/agent.py
+++ b/cartweir/logic/agent.py
@@ -427,6 +427,6 @@
         harmless = (
             effect == IDEMPOTENT
             or (effect == FINGERPRINTED and everywhere)
-            or all(d.result in NEVER_RAN for d in invocation.dispatches)
+            or all(dispatch.never_ran for dispatch in invocation.dispatches)
         )
         return Throttle(retry_advice(self.settings)) if harmless else Terminate()
--- a/tests/test_ids_that_may_have_run.py
+++ b/tests/test_ids_that_may_have_run.py
@@ -254,3 +254,26 @@
             assert other.status == SERVED
 
     play(scenario, remembered_ids=PLACES)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.sampled_from(["issue", "order", "view"]),
+    st.sampled_from([0.0, 0.05, 0.3, 5.0]),
+    st.sampled_from([None, ours.RESET, ours.ERROR]),
+    st.integers(50, 2_000),
+)
+@example("issue", 5.0, None, 200)
+def test_a_client_is_told_to_retry_if_nothing_of_its_request_was_sent(operation, connecting, result, limit):
+    """Guards against a 500, which tells of a possible effect, where the request waited for a connection."""
+
+    async def scenario(virtual: VirtualFront) -> None:
+        virtual.scripts["one"] = Script(result, 0.02, connecting)
+        sent = virtual.send("one", operation, X_Timeout=f"{limit}m")
+        await asyncio.sleep(SETTLED)
+        if not virtual.runs.may_have_run("one"):
+            assert sent.status == THROTTLED
+        elif operation == "issue":
+            assert sent.status == 500
+
+    play(scenario, remembered_ids=PLACES)
