gRPC agent: a half call ends in its time, and a half connection within request_timeout

Cause: time limits are those of invocations, and an invocation is made when the request is whole. Nothing looked at calls and connections before that, but the limit on memory.

`logic/reading_time.py` has the rule, and the node's time.

--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -117,6 +117,7 @@
         wire.connections,
         wire.message,
         wire.request_memory,
+        wire.request_timeout,
         SessionLimits(wire.streams, wire.window, wire.header_list),
     )
 
--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -5,6 +5,7 @@
 import errno
 import math
 import socket
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
@@ -20,6 +21,7 @@
 from ..hosting.tcp import ReadOnReadyStream, split_address
 from ..interface import Invocation, Operation
 from ..logic.overload import retry_advice
+from ..logic.reading_time import reading_deadline
 from ..logic.request_memory import RequestMemory
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
@@ -34,6 +36,8 @@
 READ_BUFFER_BYTES = 256 * 1024
 PREFIX_BYTES = 5  # of a gRPC message: its compression flag and length
 FIELD_BYTES = 160  # that a header takes besides its name and value
+SWEEP_INTERVAL = 200_000  # microseconds between looks for incomplete calls whose time is over
+MAX_SWEEP_TIME = 2_000  # microseconds of ending such calls until others get their turn
 SURE_MESSAGES = 2  # of the largest size, that always fit
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -46,12 +50,15 @@
         connections: The most connections at a time.
         message: The largest message of a request, in bytes.
         request_memory: Bytes that all requests may hold, of which two of the largest messages are sure.
+        request_timeout: Microseconds for a whole request, of clients that do not say how long they wait; and
+            for a connection's preface, first SETTINGS and each frame or block of headers.
         session: The limits of each HTTP/2 session.
     """
 
     connections: int
     message: int
     request_memory: int
+    request_timeout: int
     session: SessionLimits
 
     def part(self, count: int) -> FrontLimits:
@@ -98,6 +105,7 @@
         self._accept_delay: Callable[[int], int] | None = None
         self._watching = self._pausing = self._full = False
         self._unfinished: list[ClientCall] = []
+        self._overdue: deque[ClientCall] = deque()  # incomplete calls whose time is over
         self._loop = IOLoop.current()
         self._out_of_descriptors = False
         self._over_limit = False
@@ -130,6 +138,7 @@
                 delay in microseconds that this function returns for the number of open connections.
         """
         self._sockets, self._accept_delay = sockets, accept_delay
+        self._loop.call_later(SWEEP_INTERVAL / 1e6, self._sweep)
         self._accepts_per_turn = 1 if accept_delay else ACCEPTS_PER_TURN
         self._watch()
 
@@ -255,6 +264,27 @@
             call.throttle(retry_advice(self.engine_host.settings))
         return True
 
+    # ---- input that does not end ----
+    def _sweep(self) -> None:
+        """Ends calls and connections whose input has not become whole in time."""
+        if self.draining and not self.connections:
+            return
+        self._loop.call_later(SWEEP_INTERVAL / 1e6, self._sweep)
+        now, goes_on = self.clock.now(), bool(self._overdue)
+        for connection in list(self.connections):
+            connection.end_if_overdue(now, self.limits.request_timeout)
+        self._overdue = deque(call for call in self.memory.incomplete if call.is_overdue(now))
+        if not goes_on:
+            self._end_overdue()
+
+    def _end_overdue(self) -> None:
+        """Ends incomplete calls whose time is over, a few in each turn of the loop."""
+        until = self.clock.now() + MAX_SWEEP_TIME
+        while self._overdue and self.clock.now() < until:
+            self._overdue.popleft().end_overdue()
+        if self._overdue:
+            self._loop.add_callback(self._end_overdue)
+
     # ---- answers that are being sent ----
     def expect_end(self, call: ClientCall) -> None:
         """Watches an answer that has been given but not sent completely.
@@ -457,6 +487,21 @@
             write=request.write,
         )
 
+    def is_overdue(self, now: int) -> bool:
+        """Whether its time is over while it is incomplete; now: in microseconds."""
+        operation = self.front.operations.get(self.request.path)
+        return now >= reading_deadline(
+            self.arrived,
+            self.request.timeout,
+            operation and operation.time_limit,
+            self.front.limits.request_timeout,
+        )
+
+    def end_overdue(self) -> None:
+        """Ends it, unless it has become whole, or has its answer."""
+        if not self._answered and self.invocation is None:
+            self.refuse(Status.DEADLINE_EXCEEDED, "the request was not whole in time")
+
     def on_aborted(self, stream: Stream, how: str, code: int) -> None:
         """Ends the invocation, because the client has reset the call or disconnected."""
         self.front.memory.release(self)
--- a/cartweir/logic/request_memory.py
+++ b/cartweir/logic/request_memory.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Collection, Hashable
 
 MEMORY_SHARE = 8  # one part in this many of the memory that is free at the start
 MIN_LIMIT = 160 * 1024  # bytes: two of the largest requests
@@ -40,6 +40,11 @@
         self._charges: dict[Hashable, int] = {}
         self._incomplete: dict[Hashable, None] = {}
 
+    @property
+    def incomplete(self) -> Collection[Hashable]:
+        """The holders whose requests are still being read."""
+        return self._incomplete.keys()
+
     def charge(self, holder: Hashable, size: int, incomplete: bool = False) -> None:
         """Sets the bytes that a holder holds; incomplete: those of a request that is still being read."""
         self.held += size - self._charges.pop(holder, 0)
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -20,6 +20,7 @@
 from ..interface import Operation
 from ..logic.executed_requests import ExecutedRequests, nothing_ran
 from ..logic.overload import retry_advice
+from ..logic.reading_time import REQUEST_TIMEOUT
 from ..logic.request_memory import RequestMemory
 from . import protocol
 from .client_connection import NOT_YET, ClientCall, ClientConnection, CloseReason, retry_headers
@@ -28,7 +29,6 @@
 
 # Times in microseconds.
 MS = 1000
-REQUEST_TIMEOUT = 2_000 * MS  # for a complete request on a new connection: a usual client asks at once
 SWEEP_INTERVAL = 100 * MS
 ACCEPT_PAUSE = 10 * MS  # after a connection could not be accepted for want of resources
 LINGER_TIME = 500 * MS  # for a client that is still sending to read why its connection ends
--- a/cartweir/settings/schema.py
+++ b/cartweir/settings/schema.py
@@ -272,6 +272,11 @@
         description="bytes that the requests of all clients may hold, headers and bodies; at least two of "
         "the largest messages. Beyond it incomplete ones are refused, the largest first, others throttled",
     )
+    request_timeout: PositiveDuration = Field(
+        5_000_000,
+        description="time for a whole request, of clients that do not say how long they wait, and for "
+        "each frame or header block of a connection; behind it the call or the connection is ended",
+    )
     answer: Size = Field(64 << 20, description="largest answer message")
     header_list: Size = Field(32 << 10, description="largest header block")
     hold: Size = Field(
--- a/cartweir/wire/connection.py
+++ b/cartweir/wire/connection.py
@@ -6,12 +6,14 @@
 import socket
 from typing import Protocol
 
+from h2.errors import ErrorCodes
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from ..hosting.clock import monotonic
 from ..hosting.receive_queue import closed_by_peer
 from ..hosting.tcp import READ_SIZE
+from ..logic.reading_time import InputWatch
 from .grpc import Headers
 from .input_pacer import MAX_TURN_TIME, InputPacer, backlog_turn, callbacks_wait, others_wait
 from .session import Session, SessionLimits, Stream, StreamListener
@@ -88,7 +90,7 @@
         self._written = asyncio.Event()
         self.bytes_processed = 0
         self.input_since = monotonic()
-        self._pacer = InputPacer()
+        self._pacer, self._input_watch = InputPacer(), InputWatch()
         stream.set_nodelay(True)
         self.local_address = _format_address(stream.socket, "getsockname")
         self.peer_address = _format_address(stream.socket, "getpeername")
@@ -181,6 +183,23 @@
         self.bytes_processed += len(piece)
         return position + len(piece)
 
+    def end_if_overdue(self, now: int, timeout: int) -> None:
+        """Closes the connection if what the other side has begun to send has not ended for too long.
+
+        Not while it is owed answers to whole requests. To be called at intervals.
+
+        Args:
+            now: In microseconds.
+            timeout: For how long the preface, the first SETTINGS, a frame or a block of headers may take.
+        """
+        session = self.session
+        overdue = self._input_watch.is_overdue(
+            session.input_is_incomplete, session.inputs_ended, now, timeout
+        )
+        if overdue and not session.owes_answers:
+            session.send_goaway(ErrorCodes.PROTOCOL_ERROR)
+            self.close("what it began to send did not end in time")
+
     def pause(self) -> None:
         """Stops reading until `resume`; bytes stay in the socket."""
         self._paused = self._paused or asyncio.Event()
--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -201,6 +201,8 @@
         closing: GOAWAY was sent or received: there are no new streams.
         pending_pings: Payloads of pings that the peer has not answered.
         calls_taken: Calls that the owner has taken so far; it counts them.
+        got_settings: Whether the peer's first SETTINGS have arrived.
+        inputs_ended: Pieces of input so far in which at least one frame ended.
         begins_cancelled: Whether a request is begun that was cancelled before it was read.
         on_output: Called whenever `take_output` may have more.
     """
@@ -212,7 +214,8 @@
         self.closing = False
         self.pending_pings: set[bytes] = set()
         self.begins_cancelled = True
-        self.calls_taken = 0
+        self.calls_taken = self.inputs_ended = 0
+        self.got_settings = False
         self.on_output: Callable[[], None] = lambda: None
         self._sending: dict[int, Stream] = {}  # streams with something to send, in turn
         self._blocked: dict[int, Stream] = {}  # streams that a flow-control window blocks
@@ -256,6 +259,17 @@
             and (len(self.streams) < self._h2.remote_settings.max_concurrent_streams)
         )
 
+    @property
+    def input_is_incomplete(self) -> bool:
+        """Whether the preface, the first SETTINGS, a frame or a block of headers has not ended yet."""
+        buffer = self._h2.incoming_buffer
+        return not self.got_settings or bool(buffer._data or buffer._headers_buffer)
+
+    @property
+    def owes_answers(self) -> bool:
+        """Whether the peer has sent a whole request, and the answer has not been sent completely."""
+        return any(stream.end_received for stream in self.streams.values())
+
     def open(self, headers: Headers, listener: StreamListener, end: bool = False) -> Stream:
         """Opens a stream, at a client.
 
@@ -306,6 +320,8 @@
         if self.failure:
             return
         found, error = self._h2.receive(data)
+        if found:
+            self.inputs_ended += 1
         for event in found if self.begins_cancelled else _without_cancelled(found):
             handle = _HANDLERS.get(type(event))
             if handle is not None and not self.failure:  # the owner may close the connection in between
@@ -509,6 +525,7 @@
         self._blocked.clear()
 
     def _on_settings(self, event: events.RemoteSettingsChanged) -> None:
+        self.got_settings = True
         self._unblock()  # the windows of all streams may have changed
         self.owner.on_settings()
 
