--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -1,9 +1,11 @@
-"""What one call costs on the ordinary path, counted: system calls on sockets, wake-ups, what is left to the collector, what
-stays allocated. Counts are the same every time, and `path.budget` beside this file keeps the most that each may be; CI
-fails past it. Times are no part of it: see relay.py and cores.py.
+"""What one call costs on the ordinary path, counted.
 
-The agent runs here with its real sockets; client and appliance are peers in this process that speak in whole writes, one
-burst after another, and are not counted.
+Counted are system calls on sockets, wake-ups, what is left to the garbage collector, and what stays
+allocated. Counts are the same every time, and `path.budget` beside this file has the most that each may be;
+CI fails past it. Times are no part of it: see relay.py and cores.py.
+
+The agent runs here with its real sockets. The client and the appliance are peers in this process that write
+one burst after another, each whole, and are not counted.
 
     python benchmarks/path.py [--json] [--flaw syscall|leak|cycle]
 """
@@ -106,10 +108,12 @@
         self.h2.increment_flow_control_window(1 << 28)
 
     async def say(self) -> None:
+        """Sends what h2 has to send."""
         if data := self.h2.data_to_send():
             await self.loop.sock_sendall(self.sock, data)
 
     async def hear(self) -> list[Any]:
+        """Returns the events of the next input; raises ConnectionError at the end of the connection."""
         data = await self.loop.sock_recv(self.sock, 1 << 20)
         if not data:
             raise ConnectionError("the agent has closed the connection")
@@ -137,6 +141,7 @@
 
 
 async def burst_of(side: Side, count: int, size: int) -> None:
+    """Sends so many calls at once, and waits for their answers."""
     for _ in range(count):
         stream = side.h2.get_next_available_stream_id()
         side.h2.send_headers(
@@ -168,7 +173,7 @@
     listening = socket.create_server(("127.0.0.1", 0))
     listening.setblocking(False)
     registry = Registry()
-    entry = pb.Entry(appliance="b", address="127.0.0.1:%d" % listening.getsockname()[1], build=1, run=1)
+    entry = pb.Entry(appliance="b", address=f"127.0.0.1:{listening.getsockname()[1]}", build=1, run=1)
     registry.put(entry)
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "agent.ini"
@@ -275,14 +280,22 @@
 
 
 def read_budget() -> dict[str, dict[str, float]]:
+    """Returns the most that each figure may be, by the shape of the calls."""
     rows = [line.split() for line in BUDGET.read_text().splitlines() if line and not line.startswith("#")]
     names = rows[0][3:]
-    return {" ".join(row[:3]): dict(zip(names, map(float, row[3:]))) for row in rows[1:]}
+    return {" ".join(row[:3]): dict(zip(names, map(float, row[3:]), strict=True)) for row in rows[1:]}
 
 
 async def measure(
     flaw: str = "", rounds: int = 30, shapes: list[tuple[int, int]] = SHAPES
 ) -> list[dict[str, float]]:
+    """Returns the figures of each shape of calls.
+
+    Args:
+        flaw: A fault to put in, which the figures have to show; none if empty.
+        rounds: Bursts of each shape, before they are made fewer for large ones.
+        shapes: Bytes of an answer and calls of a burst.
+    """
     counted = Counted()
     return [
         await shape(size, count, counted, flaw, max(3, rounds // max(1, count // 8)))
--- a/cartweir/agent/daemon.py
+++ b/cartweir/agent/daemon.py
@@ -11,6 +11,7 @@
 import sys
 import traceback
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 import structlog
@@ -136,72 +137,79 @@
     peers: PeerMessenger
 
 
-def make_control_plane_clients(
-    document: AgentDocument,
-    engine_host: EngineHost,
-    appliance_pools: Any,
-    now: Callable[[], int],
-    log_event: EventLogger,
-    rng: random.Random,
-    limits: SessionLimits,
-    tap: Tap | None,
-    stage_fence: PersistentFence | None = None,
-) -> ControlPlaneClients:
-    """Returns the clients of the registry, the conveyor and the other agents.
+@dataclass(frozen=True, slots=True)
+class ControlPlaneUser:
+    """The agent, or the part of it, that the clients of its control plane serve.
 
-    Args:
-        document: The settings.
+    Attributes:
         engine_host: Gets what arrives.
         appliance_pools: Gets the appliances' addresses.
         now: The agent's clock, in microseconds.
         log_event: Logs an event.
         rng: The source of randomness.
-        limits: The limits of HTTP/2 sessions.
         tap: Records what passes on the connections.
         stage_fence: Refuses outdated decisions.
     """
+
+    engine_host: EngineHost
+    appliance_pools: Any
+    now: Callable[[], int]
+    log_event: EventLogger
+    rng: random.Random
+    tap: Tap | None
+    stage_fence: PersistentFence
+
+
+def make_control_plane_clients(document: AgentDocument, user: ControlPlaneUser) -> ControlPlaneClients:
+    """Returns the clients of the registry, the conveyor and the other agents.
+
+    Args:
+        document: The settings.
+        user: Whom they serve.
+    """
     agent, wire, conveyor = document.agent, document.wire, document.conveyor
     hello = pb.Hello(agent=agent.me, zone=agent.zone)
+    limits = session_limits(document)
 
     def channel(address: str) -> Channel:
-        return Channel(address, document.appliances.connect_timeout, limits, tap)
+        return Channel(address, document.appliances.connect_timeout, limits, user.tap)
 
     def backoff() -> Backoff:
-        return Backoff(wire.reconnect_least, wire.reconnect_most, rng)
+        return Backoff(wire.reconnect_least, wire.reconnect_most, user.rng)
 
     registry = RegistryClient(
-        engine_host,
-        appliance_pools,
+        user.engine_host,
+        user.appliance_pools,
         channel(document.registry.address),
         hello,
         document.registry.mode == "push",
         document.registry.call_timeout,
         backoff(),
-        now,
-        log_event,
+        user.now,
+        user.log_event,
         agent.list_file,
         ListFilter(document.registry.drop_share, document.registry.hold_time),
     )
     return ControlPlaneClients(
         registry,
         ConveyorClient(
-            engine_host,
+            user.engine_host,
             [channel(address) for address in conveyor.address],
             hello,
             conveyor.vote_timeout,
             conveyor.silence,
             backoff(),
-            log_event,
-            now,
-            stage_fence or PersistentFence(agent.stage_file, log_event),
-            rng,
+            user.log_event,
+            user.now,
+            user.stage_fence,
+            user.rng,
         ),
         PeerMessenger(
-            engine_host,
+            user.engine_host,
             agent.me,
             {number: channel(address) for number, address in document.peers.items() if number != agent.me},
             conveyor.vote_timeout,
-            log_event,
+            user.log_event,
         ),
     )
 
@@ -233,7 +241,6 @@
         self.loop = IOLoop.current()
         self.clock = Clock(agent.heartbeat, arrival_selector(asyncio.get_running_loop()))
         self.rng = random.Random(seed := secrets.randbits(63) if agent.seed is None else agent.seed)
-        limits = session_limits(document)
         self.appliance_pools = AppliancePools(
             appliance_options(document), self.clock.now, self.log_event, tap
         )
@@ -256,14 +263,15 @@
             stage_fence.on_follow = self.key_journal.record_decision
         self.registry, self.conveyor, self.peers = make_control_plane_clients(
             document,
-            self.engine_host,
-            self.appliance_pools,
-            self.clock.now,
-            self.log_event,
-            self.rng,
-            limits,
-            tap,
-            stage_fence,
+            ControlPlaneUser(
+                self.engine_host,
+                self.appliance_pools,
+                self.clock.now,
+                self.log_event,
+                self.rng,
+                tap,
+                stage_fence,
+            ),
         )
         self.front = Front(
             self.engine_host,
--- a/cartweir/cores/decider.py
+++ b/cartweir/cores/decider.py
@@ -17,10 +17,10 @@
 from .. import interface as ours
 from ..agent.control_plane import PersistentFence
 from ..agent.daemon import (
+    ControlPlaneUser,
     build_operations,
     journal_owner,
     make_control_plane_clients,
-    session_limits,
     write_event,
 )
 from ..agent.key_journal_file import KeyJournalFile
@@ -224,14 +224,15 @@
         self._restore()
         self.registry, self.conveyor, self.peers = make_control_plane_clients(
             document,
-            self.engine_host,
-            self,
-            self.clock.now,
-            self.log_event,
-            self.chance,
-            session_limits(document),
-            files.tap,
-            stage_fence,
+            ControlPlaneUser(
+                self.engine_host,
+                self,
+                self.clock.now,
+                self.log_event,
+                self.chance,
+                files.tap,
+                stage_fence,
+            ),
         )
 
     def _restore(self) -> None:
