Node: a notification with a spoilt word ends its connection, and is not passed over

Cause: a notification whose method is not known was ignored, and its connection counted as a good one.

Change: a line that is neither the answer to `listen` nor a notification that the service sends ends the connection, as any other line that cannot be read; the new one is told the state at once.

Evidence: a drawn word of the line is spoilt; each ends the connection or tells the same state.

--- a/cartweir/node/release_service.py
+++ b/cartweir/node/release_service.py
@@ -114,12 +114,10 @@
                 stream.write(LISTEN_CALL)
                 while True:
                     line = await _read_line(stream, SILENCE_TIMEOUT)
-                    if line.get("id") == LISTEN_CALL_ID and line.get("result") is not True:
-                        raise ConnectionLostError(f"listen was answered {str(line)[:80]}")
+                    self._handle_line(line)
                     if not connected:
                         connected = True
                         self._note_recovery()
-                    self._handle_notification(line.get("method"), line.get("params"))
                     # Not before: a service that cannot be understood is asked less and less often.
                     self.backoff.reset()
             except _CONNECTION_ERRORS as error:
@@ -138,20 +136,42 @@
             self._lost = False
             self.log_event("desk_back")
 
+    def _handle_line(self, line: Mapping[str, Any]) -> None:
+        """Handles a line of the connection that listens.
+
+        Raises:
+            ConnectionLostError: It is none that the service sends, so something was spoilt on the way.
+            ValueError: It cannot be read.
+        """
+        if line.get("id") != LISTEN_CALL_ID:
+            self._handle_notification(line.get("method"), line.get("params"))
+        elif line.get("result") is not True:
+            raise ConnectionLostError(f"listen was answered {str(line)[:80]}")
+
     def _handle_notification(self, method: Any, params: Any) -> None:
-        """Passes a notification on to the decisions; raises ValueError if it cannot be read."""
-        if method == "news":
-            self._apply_stage(params, None)
-        elif method == "report" and isinstance(params, dict):
-            self.engine_host.apply_flag(
-                str(params.get("class")),
-                str(params.get("server")),
-                round(protocol.parse_number(params, "age_ms", 0) * 1000),
-            )
-        elif method == "counts" and isinstance(params, dict):
-            operation = self.engine_host.operations.get(str(params.get("class")))
-            if operation is not None:
-                self.engine_host.apply_tally(protocol.parse_tally(params, operation))
+        """Passes a notification on to the decisions.
+
+        Raises:
+            ConnectionLostError: It is none that the service sends.
+            ValueError: It cannot be read.
+        """
+        match method:
+            case "ping":
+                pass
+            case "news":
+                self._apply_stage(params, None)
+            case "report" if isinstance(params, dict):
+                self.engine_host.apply_flag(
+                    str(params.get("class")),
+                    str(params.get("server")),
+                    round(protocol.parse_number(params, "age_ms", 0) * 1000),
+                )
+            case "counts" if isinstance(params, dict):
+                operation = self.engine_host.operations.get(str(params.get("class")))
+                if operation is not None:
+                    self.engine_host.apply_tally(protocol.parse_tally(params, operation))
+            case _:
+                raise ConnectionLostError(f"an unknown notification, {str(method)[:80]!r}")
 
     def _apply_stage(self, members: Any, vote_answer: str | None) -> None:
         """Passes the state of a build on to the decisions; raises ValueError if it cannot be read."""
