Node: where many clients wait for a place, half requests give way sooner

Change: `logic/eviction.py` lets the age fall with the number of connections that wait for the listener, which the kernel tells, so that the last has a place within 0.3 s, and keeps it until nobody waits. A client that sends nothing still goes first.

A test on the way: test_closed_connections_waited_for_the_garbage_collector counted the connections of failed tests of the same process; it leaves out those that were there before, and asks the same of its own.

--- a/cartweir/hosting/receive_queue.py
+++ b/cartweir/hosting/receive_queue.py
@@ -13,6 +13,7 @@
 import termios
 from typing import NamedTuple
 
+WAITING_OFFSET = 24  # of tcpi_unacked, which tells of a listener how many connections wait to be accepted
 LAST_DATA_OFFSET = 52  # of tcpi_last_data_recv in struct tcp_info: milliseconds since data last arrived
 _INT = struct.Struct("=I")
 
@@ -51,6 +52,15 @@
         return NOTHING_QUEUED  # the system has no TCP_INFO
 
 
+def waiting_connections(listener: socket.socket) -> int:
+    """Returns how many connections wait to be accepted; 0 if that is unknown."""
+    try:
+        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, WAITING_OFFSET + _INT.size)
+        return _INT.unpack_from(info, WAITING_OFFSET)[0]
+    except (OSError, struct.error, AttributeError):
+        return 0  # the system has no TCP_INFO
+
+
 def tcp_state(sock: socket.socket) -> int:
     """Returns the state of a connection; `UNKNOWN_STATE` if it is unknown."""
     try:
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -15,9 +15,16 @@
 from ..hosting.clock import Clock
 from ..hosting.engine_host import EngineHost
 from ..hosting.log_limiter import LogLimiter
-from ..hosting.receive_queue import queued_data
+from ..hosting.receive_queue import queued_data, waiting_connections
 from ..hosting.tcp import split_address
 from ..interface import Operation
+from ..logic.eviction import (
+    MIN_PARTIAL_EVICTION_AGE,
+    NEW_EVICTION_AGE,
+    PARTIAL_EVICTION_AGE,
+    SERVED_EVICTION_AGE,
+    PartialEviction,
+)
 from ..logic.executed_requests import ExecutedRequests, nothing_ran
 from ..logic.overload import retry_advice
 from ..logic.reading_time import REQUEST_TIMEOUT
@@ -34,11 +41,6 @@
 LINGER_TIME = 500 * MS  # for a client that is still sending to read why its connection ends
 STALE_INPUT_AGE = 20 * MS  # input read so long after it arrived may be of a client that has left meanwhile
 
-# Ages from which a connection may be closed to make room.
-NEW_EVICTION_AGE = 100 * MS  # has sent nothing yet
-SERVED_EVICTION_AGE = 2_000 * MS  # idle since its last response
-PARTIAL_EVICTION_AGE = 500 * MS  # has sent a part of a request
-
 DRAIN_ACCEPT_TIME = 600 * MS  # clients still connect for so long after the order to end
 DRAIN_ACCEPT_INTERVAL = 20 * MS  # between looks for connections that still wait to be accepted then
 MAX_DRAIN_TIME = 3_000 * MS  # draining takes the longest time limit, at most this long, ...
@@ -118,6 +120,8 @@
         self._accepting = True  # whether the loop watches the listener
         self._accepted_late = False  # connections may have waited for more than the turn before
         self._pause: asyncio.TimerHandle | None = None  # after a connection could not be accepted
+        self._partial_eviction = PartialEviction(limits.clients, PARTIAL_EVICTION_AGE)
+        self._retry: asyncio.TimerHandle | None = None  # while no client gives way, and many wait
 
     def listen(self, address: str) -> str:
         """Returns the address with the port that was bound.
@@ -150,7 +154,7 @@
             if self._listener is None:
                 return True
             if len(self.clients) >= self.max_clients and not self._evict():
-                self.set_accepting(False)
+                self._wait_for_place()
                 return False
             try:
                 sock, _ = self._listener.accept()
@@ -175,6 +179,16 @@
         self._accepted_late = True  # what is left waits for further turns
         return False
 
+    def _wait_for_place(self) -> None:
+        """Accepts nobody until a client leaves or is old enough to give way."""
+        self.set_accepting(False)
+        if self._retry is None and self._partial_eviction.age < PARTIAL_EVICTION_AGE:
+            self._retry = self.loop.call_later(MIN_PARTIAL_EVICTION_AGE / 1e6, self._end_retry)
+
+    def _end_retry(self) -> None:
+        self._retry = None
+        self.set_accepting(True)
+
     def _pause_accepting(self, error: OSError) -> None:
         """Stops watching the listener for a moment: it would be reported again at once, in a busy loop."""
         self.set_accepting(False)
@@ -205,14 +219,15 @@
         sent a part of a request. Never one whose input the loop has not had the time to read, nor one that
         has not taken its whole response.
         """
-        now = self.clock.now()
+        waiting = 0 if self._listener is None else waiting_connections(self._listener)
+        now, partial_age = self.clock.now(), self._partial_eviction.update(waiting)
         candidates: dict[int, ClientConnection] = {}
         for client in self.idle:
             age, in_message = now - client.last_active, client.parser.in_message
             if client.closing or not (client.served or in_message):
                 rank = 0 if age >= NEW_EVICTION_AGE else None
             elif in_message:
-                rank = 2 if age >= PARTIAL_EVICTION_AGE else None
+                rank = 2 if age >= partial_age else None
             else:
                 rank = 1 if age >= SERVED_EVICTION_AGE else None
             if (
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -211,6 +211,12 @@
 
 @sockets
 async def test_closed_connections_waited_for_the_garbage_collector():
+    kinds = (client_connection.ClientConnection, tcp.NonBlockingSocket)
+
+    def existing():
+        return [each for each in gc.get_objects() if isinstance(each, kinds)]
+
+    before = existing()  # of other tests of this process
     async with running_node(Appliance()) as node:
         client = RawClient(node.address)
         client.write(request_bytes("a"))
@@ -220,8 +226,7 @@
             client.socket.close()
             await wait_until(lambda: not node.daemon.front.clients)
             await asyncio.sleep(0)
-            kinds = (client_connection.ClientConnection, tcp.NonBlockingSocket)
-            left = [each for each in gc.get_objects() if isinstance(each, kinds)]
+            left = [each for each in existing() if not any(each is other for other in before)]
             assert [each for each in left if getattr(each, "closed", True)] == []
         finally:
             gc.enable()
