HTTP/2: an answer to a call that was reset meanwhile no longer ends the connection

What callers saw: all open calls of a client's connection at a gRPC agent or a controller were lost, when the client reset one call in the same bytes in which the next began, and the first got its answer at once.

Cause: once another stream has begun, h2 has forgotten the one that was reset, and raises StreamIDTooLowError for headers on it. Only StreamClosedError was expected; the other ended the connection as an internal error.

Change: both mean that the stream is gone, and nothing is sent on it.

--- a/cartweir/wire/session.py
+++ b/cartweir/wire/session.py
@@ -29,6 +29,10 @@
 DEFAULT_WINDOW = 65_535  # bytes; of a connection as it starts
 MAX_FRAME_SIZE = 16_384  # bytes of input
 
+# What h2 raises for a stream that the peer has reset among the events in hand. Once another stream has begun
+# behind it, h2 has forgotten it and takes its number for one that is used again.
+_STREAM_GONE = (exceptions.StreamClosedError, exceptions.StreamIDTooLowError)
+
 # How a stream can end early, as far as the request on it is concerned.
 RESET = "reset"  # by the peer
 REFUSED = "refused"  # by the peer, before the request could run
@@ -356,7 +360,7 @@
     def _send_headers(self, stream: Stream, headers: Headers, end: bool) -> None:
         try:
             self._h2.send_headers(stream.id, headers, end_stream=end)
-        except exceptions.StreamClosedError:
+        except _STREAM_GONE:
             return
         if end:
             stream._ending = True
@@ -382,8 +386,8 @@
             elif stream._ending:
                 self._h2.send_data(stream.id, b"", end_stream=True)
                 self._mark_end_sent(stream)
-        except exceptions.StreamClosedError:
-            pass  # the reset that closed it is among the events being handled
+        except _STREAM_GONE:
+            pass
         return 0
 
     def _push_data(self, stream: Stream, room: int) -> int:
