--- a/tests/peers.py
+++ b/tests/peers.py
@@ -29,7 +29,7 @@
     TrailersReceived,
     WindowUpdated,
 )
-from h2.exceptions import ProtocolError, StreamClosedError
+from h2.exceptions import ProtocolError, StreamClosedError, StreamIDTooLowError
 from h2.settings import SettingCodes
 
 from cartweir.agent.daemon import Daemon
@@ -206,7 +206,7 @@
         elif isinstance(event, StreamEnded):
             try:
                 done = self.act(self, peer, event.stream_id, len(self.requests) - 1)
-            except StreamClosedError:  # the agent has reset it within the same input
+            except (StreamClosedError, StreamIDTooLowError):  # the agent has reset it within the same input
                 return
             if asyncio.iscoroutine(done):
                 self.tasks.append(asyncio.ensure_future(done))
--- a/tests/test_reset_streams.py
+++ b/tests/test_reset_streams.py
@@ -8,7 +8,7 @@
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
-from peers import VIEW, answer, framed, rig
+from peers import VIEW, Appliance, answer, framed, rig
 from test_calls import sockets
 
 from cartweir.soak import hostile_http2 as frames
@@ -166,3 +166,14 @@
     await client.until_answered(3)
     client.writer.close()
     service.shutdown()
+
+
+@sockets
+async def test_a_scripted_appliance_goes_on_behind_a_call_that_was_reset():
+    """Guards against the stand-in that fell silent, so that calls of others timed out beside resets."""
+    appliance = Appliance(answer)
+    client = await RawPeer.connect(await appliance.listen())
+    client.writer.write(call_frames(1, True) + call_frames(3, False))
+    await client.until_answered(3)
+    client.writer.close()
+    appliance.close()
