Ids that may have run: a client that leaves as its request is released keeps no id

Change: a dispatch tells that it is unsent, whatever the reason: it waits for a connection, its client has left, or the engine's host has refused it.

Evidence: a test on sockets for both effects fails without the change (409 for 200). The steps that it shares with the test before stand once.

--- a/cartweir/hosting/engine_host.py
+++ b/cartweir/hosting/engine_host.py
@@ -151,6 +151,7 @@
             or dispatch.appliance.state == ours.GONE
             or not self.guard.allows(dispatch, self.engine.now)
         ):
+            dispatch.unsent = True
             self.environment.run_soon(lambda: self.dispatch_ended(dispatch, ours.OBSOLETE))
             return
         if dispatch.number:
--- a/cartweir/interface.py
+++ b/cartweir/interface.py
@@ -163,7 +163,7 @@
         number: its place among the dispatches of the invocation.
         sent: when it was sent.
         result: one of the constants above; None while it is outstanding.
-        waits_for_connection: nothing of it has been sent; False where the host does not know.
+        unsent: nothing of it has been sent so far; False where the host does not know.
         decision_state: opaque to the host.
     """
 
@@ -174,13 +174,13 @@
     number: int = 0
     sent: int = 0
     result: str | None = None
-    waits_for_connection: bool = False
+    unsent: bool = False
     decision_state: Any = None
 
     @property
     def never_ran(self) -> bool:
         """Whether the appliance is known not to have run it so far."""
-        return self.result in NEVER_RAN or self.waits_for_connection
+        return self.result in NEVER_RAN or self.unsent
 
 
 @dataclass(eq=False, slots=True)
--- a/cartweir/logic/executed_requests.py
+++ b/cartweir/logic/executed_requests.py
@@ -35,7 +35,7 @@
 def nothing_ran(invocation: Invocation | None, throttled: bool) -> bool:
     """Returns whether no appliance has run a request that has ended, nor may yet.
 
-    A dispatch that waits for a connection is not sent any more once its request has ended.
+    A dispatch that is unsent is not sent any more once its request has ended.
 
     Args:
         invocation: Its invocation; None if it ended before it was accepted: either it was throttled, or an
--- a/cartweir/node/appliance_pools.py
+++ b/cartweir/node/appliance_pools.py
@@ -78,9 +78,9 @@
         """Sends a dispatch, unless its client has left."""
         attempt = Attempt(self, dispatch, call)
         if dispatch.sent - dispatch.invocation.arrived_at > CLIENT_CHECK_AGE and call.client_left():
-            self.loop.call_soon(
-                call.close_client
-            )  # the invocation was held, and its client has left meanwhile
+            dispatch.unsent = True
+            # the invocation was held, and its client has left meanwhile
+            self.loop.call_soon(call.close_client)
             self.loop.call_soon(attempt.fail_unsent, ours.OBSOLETE)
         else:
             self.pool(dispatch.appliance).send(attempt)
@@ -454,12 +454,12 @@
 
     def wait_in(self, pool: AppliancePool) -> None:
         """Starts the wait for a connection."""
-        self.dispatch.waits_for_connection = True
+        self.dispatch.unsent = True
         super().wait_in(pool)
 
     def send_on(self, connection: ApplianceConnection) -> None:
         """Writes it on a connection, and starts the timer for its response."""
-        self.dispatch.waits_for_connection = False
+        self.dispatch.unsent = False
         super().send_on(connection)
 
     def encode(self, left: int) -> bytes:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -446,32 +446,49 @@
         assert [headers["x-request-id"] for _, headers, _ in node.appliances[0].requests] == ["other"]
 
 
+async def leave_as_the_invocation_is_released(node, request):
+    """Has a client leave whose request is held, and releases the request before the loop can notice."""
+    await node.wait_for_event("list")
+    agent = node.daemon.engine_host.engine.agent
+    limit, agent.concurrency_limit = agent.concurrency_limit, 0.0
+    client = RawClient(node.address)
+    client.write(request)
+    await wait_until(
+        lambda: (
+            agent.held
+            and node.daemon.clock.now() > agent.held[0].arrived_at + 2 * appliance_pools.CLIENT_CHECK_AGE
+        )
+    )
+    client.socket.close()
+    agent.concurrency_limit = limit
+    node.daemon.engine_host.catch_up()
+    agent.wake_held()
+    node.daemon.engine_host.engine.resume_woken()
+    await wait_until(lambda: not node.daemon.front.clients and not node.daemon.engine_host.calls)
+
+
 @sockets
 async def test_nothing_is_dispatched_if_the_client_leaves_as_its_invocation_is_released():
     async with running_node(Appliance()) as node:
-        await node.wait_for_event("list")
-        agent = node.daemon.engine_host.engine.agent
-        limit, agent.concurrency_limit = agent.concurrency_limit, 0.0
-        client = RawClient(node.address)
-        client.write(request_bytes("gone"))
-        await wait_until(
-            lambda: (
-                agent.held
-                and node.daemon.clock.now() > agent.held[0].arrived_at + 2 * appliance_pools.CLIENT_CHECK_AGE
-            )
-        )
-        client.socket.close()
-        agent.concurrency_limit = limit
-        node.daemon.engine_host.catch_up()
-        agent.wake_held()
-        node.daemon.engine_host.engine.resume_woken()
-        await wait_until(lambda: not node.daemon.front.clients and not node.daemon.engine_host.calls)
+        await leave_as_the_invocation_is_released(node, request_bytes("gone"))
         other = RawClient(node.address)
         other.write(request_bytes("other"))
         assert (await other.answer())[0] == 200
         assert [headers["x-request-id"] for _, headers, _ in node.appliances[0].requests] == ["other"]
 
 
+@pytest.mark.parametrize("operation", ["order", "issue"])
+@sockets
+async def test_the_id_of_a_client_that_left_as_its_invocation_was_released_may_come_again(operation):
+    """Guards against an id that stays refused, as its dispatch was neither sent nor over yet."""
+    async with running_node(Appliance()) as node:
+        await leave_as_the_invocation_is_released(node, request_bytes("again", operation))
+        other = RawClient(node.address)
+        other.write(request_bytes("again", operation))
+        assert (await other.answer())[0] == 200
+        assert [headers["x-request-id"] for _, headers, _ in node.appliances[0].requests] == ["again"]
+
+
 @pytest.mark.parametrize("news", [{"status": "draining"}, {"status": "removed"}, {"release": 2}], ids=str)
 @sockets
 async def test_dispatch_waiting_for_a_connection_is_not_sent_once_its_appliance_leaves(
--- a/tests/virtual_front.py
+++ b/tests/virtual_front.py
@@ -127,7 +127,7 @@
         self._script = front.scripts[request_id]
         self._timer: asyncio.TimerHandle | None = None
         if self._script.connecting:
-            dispatch.waits_for_connection = True
+            dispatch.unsent = True
             self._timer = front.loop.call_later(self._script.connecting, self._connected)
         else:
             self._send()
@@ -136,7 +136,7 @@
         if not self._front.engine_host.may_send(self._dispatch):
             self._front.engine_host.dispatch_ended(self._dispatch, ours.OBSOLETE)
             return
-        self._dispatch.waits_for_connection = False
+        self._dispatch.unsent = False
         self._send()
 
     def _send(self) -> None:
