gRPC agent: a call whose rest came while the agent stood still is not ended

A call, or the frame that was arriving, whose rest came while the process was stopped for longer than request_timeout ended with its connection, though the client had sent everything in time.

Drawn looks in tests/test_reading_time.py.

--- a/cartweir/agent/front.py
+++ b/cartweir/agent/front.py
@@ -21,7 +21,7 @@
 from ..hosting.tcp import ReadOnReadyStream, split_address
 from ..interface import Invocation, Operation
 from ..logic.overload import retry_advice
-from ..logic.reading_time import reading_deadline
+from ..logic.reading_time import LOOK_INTERVAL, MAX_LOOK_TIME, LookClock, reading_deadline
 from ..logic.request_memory import RequestMemory
 from ..wire import grpc
 from ..wire.connection import Connection, Tap
@@ -36,8 +36,6 @@
 READ_BUFFER_BYTES = 256 * 1024
 PREFIX_BYTES = 5  # of a gRPC message: its compression flag and length
 FIELD_BYTES = 160  # that a header takes besides its name and value
-SWEEP_INTERVAL = 200_000  # microseconds between looks for incomplete calls whose time is over
-MAX_SWEEP_TIME = 2_000  # microseconds of ending such calls until others get their turn
 SURE_MESSAGES = 2  # of the largest size, that always fit
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -106,6 +104,7 @@
         self._watching = self._pausing = self._full = False
         self._unfinished: list[ClientCall] = []
         self._overdue: deque[ClientCall] = deque()  # incomplete calls whose time is over
+        self._look_clock = LookClock(self.clock.now())
         self._loop = IOLoop.current()
         self._out_of_descriptors = False
         self._over_limit = False
@@ -138,7 +137,7 @@
                 delay in microseconds that this function returns for the number of open connections.
         """
         self._sockets, self._accept_delay = sockets, accept_delay
-        self._loop.call_later(SWEEP_INTERVAL / 1e6, self._sweep)
+        self._loop.call_later(LOOK_INTERVAL / 1e6, self._sweep)
         self._accepts_per_turn = 1 if accept_delay else ACCEPTS_PER_TURN
         self._watch()
 
@@ -269,8 +268,10 @@
         """Ends calls and connections whose input has not become whole in time."""
         if self.draining and not self.connections:
             return
-        self._loop.call_later(SWEEP_INTERVAL / 1e6, self._sweep)
+        self._loop.call_later(LOOK_INTERVAL / 1e6, self._sweep)
         now, goes_on = self.clock.now(), bool(self._overdue)
+        if self._look_clock.stood_still(now):
+            return
         for connection in list(self.connections):
             connection.end_if_overdue(now, self.limits.request_timeout)
         self._overdue = deque(call for call in self.memory.incomplete if call.is_overdue(now))
@@ -279,7 +280,7 @@
 
     def _end_overdue(self) -> None:
         """Ends incomplete calls whose time is over, a few in each turn of the loop."""
-        until = self.clock.now() + MAX_SWEEP_TIME
+        until = self.clock.now() + MAX_LOOK_TIME
         while self._overdue and self.clock.now() < until:
             self._overdue.popleft().end_overdue()
         if self._overdue:
--- a/cartweir/logic/reading_time.py
+++ b/cartweir/logic/reading_time.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
-from .timing import SECOND
+from .timing import MILLISECOND, SECOND, STALL_TIME
 
 REQUEST_TIMEOUT = 2 * SECOND  # for a whole request, in a host without a setting of its own
+LOOK_INTERVAL = 200 * MILLISECOND  # between looks for requests that are overdue
+MAX_LOOK_TIME = 2 * MILLISECOND  # for ending them, until others get their turn
 
 
 def reading_deadline(began: int, client_time: int | None, time_limit: int | None, timeout: int) -> int:
@@ -46,3 +48,17 @@
             self._since = now
             return False
         return now - self._since >= timeout
+
+
+class LookClock:
+    """Tells whether the process stood still since it looked last: what came meanwhile lies unread then."""
+
+    def __init__(self, now: int) -> None:
+        """Looks for the first time; now: in microseconds."""
+        self._looked_at = now
+
+    def stood_still(self, now: int) -> bool:
+        """Returns whether this look comes much later than planned; now: in microseconds."""
+        late = now - self._looked_at > LOOK_INTERVAL + STALL_TIME
+        self._looked_at = now
+        return late
--- a/tests/test_reading_time.py
+++ b/tests/test_reading_time.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cartweir.logic.reading_time import InputWatch, reading_deadline
+from cartweir.logic.reading_time import LOOK_INTERVAL, InputWatch, LookClock, reading_deadline
+from cartweir.logic.timing import STALL_TIME
 
 MS = 1_000
 TIMEOUT = 500 * MS
@@ -35,3 +36,12 @@
             since = now
         overdue = watch.is_overdue(incomplete, ended, now, TIMEOUT)
         assert overdue == (since is not None and now - since >= TIMEOUT)
+
+
+@given(st.lists(st.integers(0, 3 * LOOK_INTERVAL)))
+def test_a_look_that_comes_much_too_late_shows_that_the_process_stood_still(pauses):
+    now = 0
+    clock = LookClock(now)
+    for pause in pauses:
+        now += pause
+        assert clock.stood_still(now) == (pause > LOOK_INTERVAL + STALL_TIME)
