Node: a request whose rest came while the node stood still is not answered 408

What callers saw: 408 for a request that they had sent whole within 2 s, when the node was stopped meanwhile.

Change: half a request is refused only where nothing more of it lies unread, as idle connections are closed.

Evidence: a node process that is stopped for 2 s amid a head; fails without the change (408 for 200).

--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -265,7 +265,7 @@
             if age > REQUEST_TIMEOUT or (age > LINGER_TIME and client.socket.nothing_to_read()):
                 client.close(CloseReason.RESPONDED)
         elif client.parser.in_message:
-            if age > REQUEST_TIMEOUT:
+            if age > REQUEST_TIMEOUT and client.socket.nothing_to_read():
                 client.refuse(408, "no whole request in time")
         elif (
             (not client.served and age > REQUEST_TIMEOUT)
--- a/tests/test_stopped_processes.py
+++ b/tests/test_stopped_processes.py
@@ -7,12 +7,16 @@
 import signal
 
 import pytest
+from node_harness import Appliance, request_bytes
+from node_process import node_process
 from peers import VIEW, Client, answer, framed
 from test_calls import sockets
 from test_clients_that_closed import stop
 from test_grpc_memory_limit import processes
 from test_processes import end, world
 
+from cartweir.node.front import REQUEST_TIMEOUT
+
 REQUEST_TIME = 0.7  # seconds for a whole call, longer than `SEEN`
 SEEN = 0.5  # seconds in which a process has looked at what is incomplete
 STOPPED = 1.0  # seconds
@@ -46,3 +50,19 @@
     assert call.status == "0"
     await process.stop()
     end(registry, appliances)
+
+
+@sockets
+async def test_a_request_whose_rest_came_while_a_node_was_stopped_is_served(tmp_path):
+    appliance = Appliance()
+    async with node_process(tmp_path, appliance) as node:
+        client = await node.client()
+        request = request_bytes("whole", "view", X_Timeout="3000m")
+        client.writer.write(request[:20])
+        await asyncio.sleep(SEEN)
+        stop(node.process.pid)
+        client.writer.write(request[20:])
+        await asyncio.sleep(REQUEST_TIMEOUT / 1e6)
+        os.kill(node.process.pid, signal.SIGCONT)
+        status, _, _ = await client.read_response()
+        assert status == 200
