Eviction: the whole decision stands in logic, and a crowd that has gone is forgotten

Cause: left the ranks of clients and two of its times in the node's front, a host file, and once the age for half requests had fallen it stayed so if the crowd left while places were free: half requests of a later, small crowd gave way after as little as 20 ms.

Change: `EvictionPolicy` and `Idleness` in `logic/eviction.py` hold ages, order and the interval of retries; the front asks them. Nobody waits as soon as accept finds nobody.

--- a/cartweir/node/client_connection.py
+++ b/cartweir/node/client_connection.py
@@ -17,6 +17,7 @@
 from ..hosting.tcp import NonBlockingSocket
 from ..interface import Invocation
 from ..logic.dispatch_guard import Invariant
+from ..logic.eviction import Idleness
 from ..logic.executed_requests import ClientIds
 from ..logic.request_memory import RequestMemory
 from . import http1
@@ -197,6 +198,15 @@
         self.keep_alive, self.discarded, self.unsent_before = True, 0, 0
         self.socket = NonBlockingSocket(front.loop, sock, self)
 
+    @property
+    def idleness(self) -> Idleness:
+        """What it has done, while it has no open request."""
+        if self.closing:
+            return Idleness.SILENT
+        if self.parser.in_message:
+            return Idleness.PARTIAL
+        return Idleness.SERVED if self.served else Idleness.SILENT
+
     # ---- input ----
     def on_data(self, data: bytes) -> None:
         """Handles input; a connection carries one request at a time."""
--- a/cartweir/node/front.py
+++ b/cartweir/node/front.py
@@ -18,13 +18,7 @@
 from ..hosting.receive_queue import queued_data, waiting_connections
 from ..hosting.tcp import split_address
 from ..interface import Operation
-from ..logic.eviction import (
-    MIN_PARTIAL_EVICTION_AGE,
-    NEW_EVICTION_AGE,
-    PARTIAL_EVICTION_AGE,
-    SERVED_EVICTION_AGE,
-    PartialEviction,
-)
+from ..logic.eviction import RETRY_INTERVAL, EvictionPolicy, Idleness
 from ..logic.executed_requests import ExecutedRequests, nothing_ran
 from ..logic.overload import retry_advice
 from ..logic.reading_time import REQUEST_TIMEOUT
@@ -120,7 +114,7 @@
         self._accepting = True  # whether the loop watches the listener
         self._accepted_late = False  # connections may have waited for more than the turn before
         self._pause: asyncio.TimerHandle | None = None  # after a connection could not be accepted
-        self._partial_eviction = PartialEviction(limits.clients, PARTIAL_EVICTION_AGE)
+        self._eviction = EvictionPolicy(limits.clients)
         self._retry: asyncio.TimerHandle | None = None  # while no client gives way, and many wait
 
     def listen(self, address: str) -> str:
@@ -160,6 +154,7 @@
                 sock, _ = self._listener.accept()
             except BlockingIOError:
                 self._accepted_late = False
+                self._eviction.update(0)
                 return True
             except OSError as error:
                 if error.errno not in NO_RESOURCES or (error.errno in NO_DESCRIPTORS and self._evict()):
@@ -182,8 +177,8 @@
     def _wait_for_place(self) -> None:
         """Accepts nobody until a client leaves or is old enough to give way."""
         self.set_accepting(False)
-        if self._retry is None and self._partial_eviction.age < PARTIAL_EVICTION_AGE:
-            self._retry = self.loop.call_later(MIN_PARTIAL_EVICTION_AGE / 1e6, self._end_retry)
+        if self._retry is None and self._eviction.many_wait:
+            self._retry = self.loop.call_later(RETRY_INTERVAL / 1e6, self._end_retry)
 
     def _end_retry(self) -> None:
         self._retry = None
@@ -215,29 +210,23 @@
     def _evict(self) -> bool:
         """Closes an idle connection to make room; returns whether there was one.
 
-        First one that sent nothing or has its last response; then one that was served long ago; then one that
-        sent a part of a request. Never one whose input the loop has not had the time to read, nor one that
+        Never one whose input the loop has not had the time to read, nor one that
         has not taken its whole response.
         """
-        waiting = 0 if self._listener is None else waiting_connections(self._listener)
-        now, partial_age = self.clock.now(), self._partial_eviction.update(waiting)
-        candidates: dict[int, ClientConnection] = {}
+        if self._listener is not None:
+            self._eviction.update(waiting_connections(self._listener))
+        now = self.clock.now()
+        candidates: dict[Idleness, ClientConnection] = {}
         for client in self.idle:
-            age, in_message = now - client.last_active, client.parser.in_message
-            if client.closing or not (client.served or in_message):
-                rank = 0 if age >= NEW_EVICTION_AGE else None
-            elif in_message:
-                rank = 2 if age >= partial_age else None
-            else:
-                rank = 1 if age >= SERVED_EVICTION_AGE else None
+            idleness = client.idleness
             if (
-                rank is not None
-                and rank not in candidates
+                idleness not in candidates
+                and self._eviction.may_go(idleness, now - client.last_active)
                 and not client.socket.unsent
                 and client.socket.nothing_to_read()
             ):
-                candidates[rank] = client
-                if rank == 0:
+                candidates[idleness] = client
+                if idleness == Idleness.SILENT:
                     break
         if not candidates:
             return False
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -33,6 +33,7 @@
 
 from cartweir import interface as ours
 from cartweir.hosting import tcp
+from cartweir.logic import eviction
 from cartweir.node import appliance_pools, client_connection, config, front
 
 LARGE = bytes(60_000)
@@ -122,8 +123,10 @@
 @sockets
 async def test_slow_reader_gets_its_whole_response(ending, small_send_buffer, monkeypatch):
     """The kernel has taken a part of the response when the connection is to end."""
-    for name in ("LINGER_TIME", "NEW_EVICTION_AGE", "SERVED_EVICTION_AGE", "SWEEP_INTERVAL"):
+    for name in ("LINGER_TIME", "SWEEP_INTERVAL"):
         monkeypatch.setattr(front, name, 10_000)
+    for name in ("NEW_EVICTION_AGE", "SERVED_EVICTION_AGE"):
+        monkeypatch.setattr(eviction, name, 10_000)
     monkeypatch.setattr(front, "DRAIN_ACCEPT_TIME", 10_000)
     async with running_node(Appliance(lambda *request: ok_response(LARGE)), sockets=64) as node:
         client = RawClient(node.address, small_send_buffer=True)
@@ -339,7 +342,7 @@
 
 @sockets
 async def test_partial_request_is_evicted_after_silent_connections(monkeypatch):
-    monkeypatch.setattr(front, "PARTIAL_EVICTION_AGE", 20_000_000)
+    monkeypatch.setattr(eviction, "PARTIAL_EVICTION_AGE", 20_000_000)
     async with running_node(Appliance(), sockets=64) as node:
         client, text = RawClient(node.address), request_bytes("halved")
         client.write(text[:20])
--- a/tests/test_eviction.py
+++ b/tests/test_eviction.py
@@ -12,11 +12,12 @@
 from test_endings import RawClient, wait_until
 from virtual_front import CONNECTIONS, VirtualFront, play
 
+from cartweir.logic import eviction
 from cartweir.logic.eviction import (
     FEW_WAITING,
     MIN_PARTIAL_EVICTION_AGE,
     NEW_EVICTION_AGE,
-    PartialEviction,
+    EvictionPolicy,
 )
 from cartweir.node import front
 
@@ -29,11 +30,16 @@
     st.lists(st.integers(0, 5_000), min_size=1),
 )
 def test_the_age_falls_with_those_that_wait_and_stays_until_nobody_does(longest, places, crowds):
-    eviction = PartialEviction(places, longest)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(eviction, "PARTIAL_EVICTION_AGE", longest)
+        policy = EvictionPolicy(places)
+        ages = []
+        for waiting in crowds:
+            policy.update(waiting)
+            ages.append(policy.partial_age)
     most = 0  # that waited at a time since nobody did
-    for waiting in crowds:
+    for waiting, age in zip(crowds, ages, strict=True):
         most = max(most, waiting) if waiting else 0
-        age = eviction.update(waiting)
         assert MIN_PARTIAL_EVICTION_AGE <= age <= longest
         if most <= FEW_WAITING * places:
             assert age == longest
@@ -54,7 +60,9 @@
         await asyncio.sleep(milliseconds / 1000)
         virtual.front._listener = object()
         age, now_silent = milliseconds * MS, bool(quiet) and milliseconds * MS >= NEW_EVICTION_AGE
-        half_goes = age >= PartialEviction(CONNECTIONS).update(waiting)
+        policy = EvictionPolicy(CONNECTIONS)
+        policy.update(waiting)
+        half_goes = age >= policy.partial_age
         assert virtual.front._evict() == (now_silent or half_goes)
         assert half.socket.closed == (half_goes and not now_silent)
         assert quiet is None or quiet.socket.closed == now_silent
@@ -67,7 +75,7 @@
 @sockets
 async def test_a_client_is_served_behind_a_crowd_that_stops_amid_its_requests(monkeypatch):
     """Without the change each place changes hands after 0.7 s only, and 10 clients wait for each."""
-    monkeypatch.setattr(front, "PARTIAL_EVICTION_AGE", 700 * MS)
+    monkeypatch.setattr(eviction, "PARTIAL_EVICTION_AGE", 700 * MS)
     async with running_node(Appliance(), sockets=64) as node:
         places = node.daemon.front.max_clients
         crowd = [RawClient(node.address) for _ in range(places)]
@@ -82,3 +90,15 @@
         assert (await usual.answer())[0] == 200
         for client in (*crowd, usual):
             client.socket.close()
+
+
+@sockets
+async def test_half_requests_have_their_whole_time_again_once_nobody_waits():
+    """Guards against a crowd that is remembered after it has gone."""
+    async with running_node(Appliance()) as node:
+        node.daemon.front._eviction.update(1_000_000)
+        client = RawClient(node.address)
+        client.write(request_bytes("usual"))
+        assert (await client.answer())[0] == 200
+        assert not node.daemon.front._eviction.many_wait
+        client.socket.close()
